--- /dev/null
+++ b/include/coltsfootlock/coordination/steering/service_directory.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "coltsfootlock/state/catalogue.h"
+#include "coltsfootlock/state/flow_key.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace coltsfootlock {
+
+/// The catalogue in force, by address, and the failure domains that operators took out of service. The highest version
+/// of the catalogue wins.
+class service_directory
+{
+public:
+  /// False if the version in force is as high or higher.
+  bool publish(std::shared_ptr<const catalogue> value);
+
+  /// False if the revision is not newer than what is known of the domain.
+  bool switch_domain(const std::string& domain, bool in_service, std::uint64_t revision);
+
+  /// A full list of the records follows: domains that it does not name as out are in service.
+  void begin_snapshot();
+  void end_snapshot(std::uint64_t revision);
+
+  /// Null if there is no such service.
+  const service* find(const endpoint& address) const;
+
+  /// The group that takes a new flow: the same for each copy of its first packet, on each daemon.
+  const std::string& group_for(const service& wanted, const flow_key& flow) const;
+
+  bool in_service(const std::string& domain) const;
+
+  const catalogue* current() const { return catalogue_.get(); }
+
+private:
+  struct domain_state
+  {
+    bool in_service = true;
+    std::uint64_t revision = 0;
+    std::uint64_t snapshot = 0;
+  };
+
+  std::shared_ptr<const catalogue> catalogue_;
+  std::map<endpoint, const service*> by_address_;
+  std::map<std::string, domain_state> domains_;
+  std::uint64_t snapshot_ = 0;
+};
+
+}
--- /dev/null
+++ b/include/coltsfootlock/coordination/steering/steering_engine.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "coltsfootlock/coordination/steering/flow_notes.h"
+#include "coltsfootlock/coordination/steering/flow_placement.h"
+#include "coltsfootlock/coordination/steering/service_directory.h"
+#include "coltsfootlock/coordination/steering/steering_decision.h"
+#include "coltsfootlock/coordination/steering/steering_settings.h"
+#include "coltsfootlock/coordination/steering/target_directory.h"
+#include "coltsfootlock/state/record_change.h"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace coltsfootlock {
+
+struct steering_counters
+{
+  std::array<std::uint64_t, forward_reason_count> forwarded{};
+  std::array<std::uint64_t, reset_reason_count> resets{};
+  std::array<std::uint64_t, drop_reason_count> dropped{};
+  std::uint64_t suspicions = 0;
+
+  auto operator<=>(const steering_counters&) const = default;
+};
+
+/// A change of what the daemon believes, for the log.
+struct belief_change
+{
+  std::string part;    ///< "target", "catalogue" or "domain".
+  std::string message; ///< Fields as name=value.
+
+  auto operator<=>(const belief_change&) const = default;
+};
+
+/// Decides on the packets of flows whose target is carried by the packets themselves. Any daemon can forward any packet
+/// of an open flow; only a first packet needs a choice. Belongs to one thread.
+class steering_engine
+{
+public:
+  explicit steering_engine(const steering_settings& settings);
+
+  /// `settles_at`: until when a missing record may be a consequence of an outage of the store.
+  void on_record(const record_change& change, instant settles_at, instant now);
+  void on_snapshot_begin();
+  void on_snapshot_complete(std::uint64_t revision, instant settles_at, instant now);
+
+  /// When the records were last known to be complete.
+  void on_confirmed(instant at) { confirmed_at_ = at; }
+
+  steering_decision on_packet(const carried_packet& packet, instant now);
+
+  /// To be called every `steering_timing::tick_interval`. Returns the flows to reset.
+  std::vector<reset_flow> tick(instant now);
+
+  /// Settings that can change while the daemon runs.
+  void set_settings(const steering_settings& settings) { settings_ = settings; }
+
+  /// True once the catalogue and the targets are known.
+  bool knows_records() const { return complete_ && services_.current() != nullptr; }
+
+  const steering_counters& counters() const { return counters_; }
+  std::size_t flows() const { return flows_.size(); }
+  std::size_t targets() const { return targets_.size(); }
+  const catalogue* current_catalogue() const { return services_.current(); }
+
+  /// What has changed since the last call.
+  std::vector<belief_change> take_belief_changes();
+
+private:
+  steering_decision on_opening(const carried_packet& packet, instant now);
+  steering_decision on_copy(const carried_packet& packet, flow_note& note, instant now);
+  steering_decision on_later(const carried_packet& packet, instant now);
+  steering_decision place(const carried_packet& packet, const vm_id& avoided, instant now);
+  known_target* named_target(const carried_packet& packet, drop_reason& why);
+  std::optional<target_condition> condition_of(known_target& target, instant now);
+  void note_packet(const carried_packet& packet, known_target& target, instant now);
+  void suspect(known_target& target, const char* evidence, instant now);
+  bool is_quiet(const known_target& target, instant now) const;
+  void forget(const flow_note& note);
+  void reset_flows_of_lost_targets(instant now, std::vector<reset_flow>& resets);
+  void forget_idle_flows(instant now);
+  void report(const char* part, std::string message);
+  void report_target(const known_target& target, const char* event, instant now);
+  steering_decision forward(forward_reason reason, const known_target& target);
+  steering_decision reset(reset_reason reason, const carried_packet& packet, const vm_id& target);
+  steering_decision drop(drop_reason reason);
+
+  steering_settings settings_;
+  service_directory services_;
+  target_directory targets_;
+  flow_notes flows_;
+  bool complete_ = false;
+  std::optional<instant> confirmed_at_;
+  instant last_tick_;
+  instant next_expiry_;
+  instant evidence_from_; ///< What was not seen before this time proves nothing: start, or the last pause.
+  std::uint64_t self_hash_ = 0;
+  steering_counters counters_;
+  std::vector<belief_change> beliefs_;
+  std::vector<placement_candidate> candidates_; ///< Kept to avoid an allocation per flow.
+  std::vector<vm_id> restarted_;
+};
+
+}
--- /dev/null
+++ b/include/coltsfootlock/coordination/steering/steering_timing.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "coltsfootlock/state/time.h"
+
+namespace coltsfootlock::steering_timing {
+
+/// A copy of an opening packet that follows its original by less than this waited in this daemon's own socket and is no
+/// sign that the target is silent. Callers send the first copy after 200 ms.
+inline constexpr milliseconds shortest_copy_gap{ 120 };
+
+/// A target without progress for this long while callers repeat packets to it gets no new flows. Longer than one
+/// retransmission timeout of a caller (200 ms) and the round trip.
+inline constexpr milliseconds silence_before_suspicion{ 350 };
+
+/// A suspected target may be tried again after this time; twice the time of a caller's attempt to open a flow (1.4 s),
+/// so that a caller's second attempt meets another target.
+inline constexpr milliseconds suspicion{ 2800 };
+
+/// Records that expired while the store was away return within 2 s of its return if the target lives; 500 ms more for
+/// the way to the daemon.
+inline constexpr milliseconds lapse_grace{ 2500 };
+
+/// Rounds of `steering_engine::tick`: how late a reset may follow its cause.
+inline constexpr milliseconds tick_interval{ 100 };
+
+/// How often flows without packets are looked for.
+inline constexpr milliseconds expiry_interval{ 1000 };
+
+/// A closing flow is remembered this long after its last packet: one retransmission at the longest interval (1.6 s).
+inline constexpr milliseconds closing{ 2000 };
+
+/// A step of the clock between two rounds beyond this is a pause of the process: what was not seen in it proves
+/// nothing.
+inline constexpr milliseconds longest_round{ 800 };
+
+}
--- a/include/coltsfootlock/state/catalogue.h
+++ b/include/coltsfootlock/state/catalogue.h
@@ -17,6 +17,15 @@
   auto operator<=>(const failure_domain&) const = default;
 };
 
+/// What cold targets of a group bear, where the catalogue states it as a rate.
+struct cold_start_rate
+{
+  std::string target_group;
+  double opens_per_second = 0; ///< New flows of one cold target, over all daemons.
+
+  auto operator<=>(const cold_start_rate&) const = default;
+};
+
 /// What operators published. Versions only grow; a roll-back is a new version.
 struct catalogue
 {
@@ -24,7 +33,9 @@
   std::uint64_t digest = 0; ///< XXH3 of the published text; tells two texts with one version apart.
   std::vector<failure_domain> failure_domains;
   std::vector<service> services;
-  std::string text; ///< The published JSON, kept so that peers can fetch it unchanged.
+  std::vector<cold_start_rate> cold_starts;
+  std::uint32_t flow_idle_ms = 0; ///< Flows without packets for this long may be forgotten; 0 if it is not stated.
+  std::string text;               ///< The published JSON, kept so that peers can fetch it unchanged.
 
   auto operator<=>(const catalogue&) const = default;
 };
--- /dev/null
+++ b/include/coltsfootlock/state/record_change.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "coltsfootlock/state/catalogue.h"
+#include "coltsfootlock/state/error.h"
+#include "coltsfootlock/state/target_record.h"
+
+#include <compare>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+
+namespace coltsfootlock {
+
+/// A target described itself.
+struct target_published
+{
+  target_record target;
+
+  auto operator<=>(const target_published&) const = default;
+};
+
+/// A target's record is gone: the target left, or was silent for too long.
+struct target_removed
+{
+  vm_id id;
+
+  auto operator<=>(const target_removed&) const = default;
+};
+
+/// A target's record does not describe a target. It gets no new flows; nothing follows for the flows that it has.
+struct target_unreadable
+{
+  vm_id id;
+  error why;
+
+  auto operator<=>(const target_unreadable&) const = default;
+};
+
+/// Operators published a catalogue.
+struct catalogue_published
+{
+  std::shared_ptr<const catalogue> value;
+
+  bool operator==(const catalogue_published& other) const { return *value == *other.value; }
+};
+
+/// The record of the catalogue cannot be used; the catalogue in force stays.
+struct catalogue_unreadable
+{
+  error why;
+
+  auto operator<=>(const catalogue_unreadable&) const = default;
+};
+
+/// Operators took a failure domain out of service, or brought it back.
+struct domain_switched
+{
+  std::string domain;
+  bool in_service = true;
+
+  auto operator<=>(const domain_switched&) const = default;
+};
+
+/// A change of one platform record at a revision of the platform's store. Revisions grow with each change.
+struct record_change
+{
+  std::uint64_t revision = 0;
+  std::variant<target_published,
+               target_removed,
+               target_unreadable,
+               catalogue_published,
+               catalogue_unreadable,
+               domain_switched>
+    content;
+
+  bool operator==(const record_change&) const = default;
+};
+
+}
--- a/include/coltsfootlock/state/service.h
+++ b/include/coltsfootlock/state/service.h
@@ -5,6 +5,7 @@
 #include <compare>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace coltsfootlock {
 
@@ -33,6 +34,15 @@
   auto operator<=>(const target_limits&) const = default;
 };
 
+/// A target group that takes a part of a service's new flows.
+struct group_weight
+{
+  std::string target_group;
+  std::uint32_t weight = 1;
+
+  auto operator<=>(const group_weight&) const = default;
+};
+
 /// One catalogue entry.
 struct service
 {
@@ -44,6 +54,7 @@
   target_limits limits;
   std::uint32_t request_timeout_ms = 2000; ///< Longest run time of one request at a target.
   std::uint32_t queue_limit = 256;         ///< Requests that may wait per daemon.
+  std::vector<group_weight> split;         ///< Divides the new flows among groups; if empty, target_group takes all.
 
   auto operator<=>(const service&) const = default;
 };
--- /dev/null
+++ b/include/coltsfootlock/transport/http_exchange.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "coltsfootlock/state/endpoint.h"
+#include "coltsfootlock/state/error.h"
+#include "coltsfootlock/state/time.h"
+
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace coltsfootlock {
+
+struct http_answer
+{
+  int status = 0;
+  std::string body;
+
+  auto operator<=>(const http_answer&) const = default;
+};
+
+/// GET calls to one server over a connection that stays open, one call at a time, without blocking and without threads.
+/// A call that gets no answer in time ends with its connection; the next one opens a new connection.
+class http_exchange
+{
+public:
+  /// `most_body_bytes`: a longer body fails the call.
+  http_exchange(const endpoint& server, std::size_t most_body_bytes);
+  ~http_exchange();
+  http_exchange(http_exchange&&) noexcept;
+  http_exchange& operator=(http_exchange&&) noexcept;
+
+  /// Sends a call. Nothing may be under way.
+  void get(const std::string& target, instant deadline);
+
+  bool busy() const;
+
+  /// For poll(); -1 without a connection.
+  int descriptor() const;
+
+  /// The events to poll for.
+  short events() const;
+
+  /// Ends of the call under way, if it is over: its answer, or why there is none. To be called when the descriptor is
+  /// ready and when the deadline has passed.
+  std::optional<std::variant<http_answer, error>> advance(instant now);
+
+private:
+  struct implementation;
+  std::unique_ptr<implementation> implementation_;
+};
+
+}
--- a/include/coltsfootlock/transport/log.h
+++ b/include/coltsfootlock/transport/log.h
@@ -13,6 +13,15 @@
 void
 start_log(std::ostream& output, log_level lowest);
 
+/// Starts the log without a thread: lines wait in memory until flush_log() writes them to the descriptor. For daemons
+/// on a small part of a core, where each wake-up of a thread costs more than the line.
+void
+start_unthreaded_log(int descriptor, log_level lowest);
+
+/// Writes what the descriptor takes without blocking; for start_unthreaded_log.
+void
+flush_log();
+
 /// Writes the waiting lines and ends the thread. `output` is not used afterwards.
 void
 stop_log();
@@ -21,7 +30,7 @@
 void
 write_log(log_level level, std::string_view part, std::string_view message);
 
-/// Lines lost because more than 8192 waited.
+/// Lines lost because too many waited.
 std::uint64_t
 dropped_log_lines();
 
--- /dev/null
+++ b/include/coltsfootlock/transport/page_server.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "coltsfootlock/state/endpoint.h"
+#include "coltsfootlock/state/error.h"
+#include "coltsfootlock/state/time.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <poll.h>
+
+namespace coltsfootlock {
+
+struct page
+{
+  int status = 200;
+  std::string body;
+  std::string content_type = "application/json";
+
+  auto operator<=>(const page&) const = default;
+};
+
+/// Answers GET requests with small pages, without threads and without blocking. For health pages and metrics on VMs
+/// with a small part of a core.
+class page_server
+{
+public:
+  using handler = std::function<page()>;
+
+  /// Listens on `local`; empty with the reason in `why` on failure.
+  static std::optional<page_server> listen(const endpoint& local, error& why);
+
+  page_server(page_server&&) noexcept;
+  page_server& operator=(page_server&&) noexcept;
+  ~page_server();
+
+  /// The bound address, with the actual port.
+  endpoint local() const;
+
+  void add_page(const std::string& path, handler make);
+
+  /// Appends the descriptors to wait for.
+  void add_descriptors(std::vector<pollfd>& wanted) const;
+
+  /// Serves what is ready. Connections without a complete request for a while are closed.
+  void advance(instant now);
+
+private:
+  struct implementation;
+  explicit page_server(std::unique_ptr<implementation> parts);
+  std::unique_ptr<implementation> implementation_;
+};
+
+}
--- a/include/coltsfootlock/transport/udp_socket.h
+++ b/include/coltsfootlock/transport/udp_socket.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -41,6 +42,9 @@
   /// Empty when nothing waits.
   std::optional<received_datagram> receive();
 
+  /// Receives into memory of the caller; a longer datagram is cut. Empty when nothing waits, else its size in bytes.
+  std::optional<std::size_t> receive_into(std::span<char> memory);
+
 private:
   explicit udp_socket(int descriptor);
 
--- /dev/null
+++ b/libraries/coordination/steering/record_follower.cpp
@@ -0,0 +1,128 @@
+#include "coltsfootlock/coordination/steering/record_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace coltsfootlock {
+
+record_follower::record_follower(const follower_settings& settings, std::uint32_t seed)
+  : settings_(settings)
+  , random_(seed)
+  , calls_left_(settings.call_burst)
+{
+}
+
+void
+record_follower::spend(instant now)
+{
+  const std::chrono::duration<double> passed = now - calls_counted_;
+  calls_left_ = std::min(settings_.call_burst, calls_left_ + passed.count() * settings_.calls_per_second) - 1;
+  calls_counted_ = now;
+  if (calls_left_ >= 1) {
+    wakes_at_ = now;
+    return;
+  }
+  const std::chrono::duration<double> pause((1 - calls_left_) / settings_.calls_per_second);
+  wakes_at_ = now + std::chrono::duration_cast<duration>(pause);
+}
+
+std::optional<record_follower::planned_call>
+record_follower::next_call(instant now)
+{
+  if (calling_ || now < wakes_at_) {
+    return std::nullopt;
+  }
+  calling_ = true;
+  spend(now);
+  if (listing_) {
+    return planned_call{ list_call{ list_after_ }, settings_.list_timeout };
+  }
+  return planned_call{ watch_call{ revision_, settings_.watch_wait }, settings_.watch_wait + settings_.answer_slack };
+}
+
+record_follower::progress
+record_follower::on_answer(record_answer answer, instant now)
+{
+  calling_ = false;
+  return std::visit([this, now](auto& content) { return on(std::move(content), now); }, answer);
+}
+
+void
+record_follower::note_success(progress& result, instant now)
+{
+  if (failures_ > 0) {
+    result.regained = true;
+    settles_at_ = now + settings_.settle;
+  }
+  failures_ = 0;
+}
+
+record_follower::progress
+record_follower::on(record_page page, instant now)
+{
+  progress result;
+  note_success(result, now);
+  if (list_after_.empty()) {
+    result.snapshot_begins = true;
+    list_revision_ = page.store_revision;
+  }
+  result.changes = std::move(page.records);
+  if (page.more && !page.last_key.empty()) {
+    list_after_ = page.last_key;
+    wakes_at_ = now;
+    return result;
+  }
+  // Later pages may be newer than the first one; the watch repeats what changed in between.
+  revision_ = list_revision_;
+  result.snapshot_complete = list_revision_;
+  listing_ = false;
+  list_after_.clear();
+  confirmed_at_ = now;
+  wakes_at_ = now;
+  return result;
+}
+
+record_follower::progress
+record_follower::on(record_events events, instant now)
+{
+  progress result;
+  note_success(result, now);
+  result.changes = std::move(events.changes);
+  revision_ = std::max(revision_, events.store_revision);
+  confirmed_at_ = now;
+  return result;
+}
+
+record_follower::progress
+record_follower::on(const history_forgotten&, instant now)
+{
+  progress result;
+  note_success(result, now);
+  settles_at_ = now + settings_.settle;
+  listing_ = true;
+  list_after_.clear();
+  wakes_at_ = now;
+  return result;
+}
+
+record_follower::progress
+record_follower::on(const call_failed&, instant now)
+{
+  progress result;
+  result.lost = failures_ == 0;
+  ++failures_;
+  if (listing_) {
+    list_after_.clear();
+  }
+  if (failures_ == 1) {
+    wakes_at_ = now;
+    return result;
+  }
+  const unsigned doublings = std::min(failures_ - 2, 8U);
+  const milliseconds longest = std::min(settings_.first_retry * (1U << doublings), settings_.longest_retry);
+  std::uniform_int_distribution<milliseconds::rep> pause(longest.count() / 2, longest.count());
+  wakes_at_ = now + milliseconds(pause(random_));
+  return result;
+}
+
+}
--- /dev/null
+++ b/libraries/coordination/steering/service_directory.cpp
@@ -0,0 +1,89 @@
+#include "coltsfootlock/coordination/steering/service_directory.h"
+
+#include <utility>
+
+namespace coltsfootlock {
+
+bool
+service_directory::publish(std::shared_ptr<const catalogue> value)
+{
+  if (catalogue_ != nullptr && value->version <= catalogue_->version) {
+    return false;
+  }
+  catalogue_ = std::move(value);
+  by_address_.clear();
+  for (const service& entry : catalogue_->services) {
+    by_address_.emplace(entry.address, &entry);
+  }
+  return true;
+}
+
+bool
+service_directory::switch_domain(const std::string& domain, bool in_service, std::uint64_t revision)
+{
+  domain_state& state = domains_[domain];
+  if (revision < state.revision) {
+    return false;
+  }
+  state.snapshot = snapshot_;
+  if (revision == state.revision) {
+    return false;
+  }
+  state.revision = revision;
+  const bool changed = state.in_service != in_service;
+  state.in_service = in_service;
+  return changed;
+}
+
+void
+service_directory::begin_snapshot()
+{
+  ++snapshot_;
+}
+
+void
+service_directory::end_snapshot(std::uint64_t revision)
+{
+  for (auto& [name, state] : domains_) {
+    if (state.snapshot != snapshot_ && state.revision <= revision) {
+      state.in_service = true;
+      state.revision = revision;
+    }
+  }
+}
+
+const service*
+service_directory::find(const endpoint& address) const
+{
+  const auto found = by_address_.find(address);
+  return found == by_address_.end() ? nullptr : found->second;
+}
+
+const std::string&
+service_directory::group_for(const service& wanted, const flow_key& flow) const
+{
+  std::uint64_t total = 0;
+  for (const group_weight& part : wanted.split) {
+    total += part.weight;
+  }
+  if (total == 0) {
+    return wanted.target_group;
+  }
+  std::uint64_t point = hash_of(flow) % total;
+  for (const group_weight& part : wanted.split) {
+    if (point < part.weight) {
+      return part.target_group;
+    }
+    point -= part.weight;
+  }
+  return wanted.target_group;
+}
+
+bool
+service_directory::in_service(const std::string& domain) const
+{
+  const auto found = domains_.find(domain);
+  return found == domains_.end() || found->second.in_service;
+}
+
+}
--- /dev/null
+++ b/libraries/coordination/steering/steering_decision.cpp
@@ -0,0 +1,53 @@
+#include "coltsfootlock/coordination/steering/steering_decision.h"
+
+namespace coltsfootlock {
+
+const char*
+to_string(forward_reason value)
+{
+  switch (value) {
+    case forward_reason::named:
+      return "named";
+    case forward_reason::placed:
+      return "placed";
+    case forward_reason::repeated:
+      return "repeated";
+    case forward_reason::moved:
+      return "moved";
+  }
+  return "unknown";
+}
+
+const char*
+to_string(reset_reason value)
+{
+  switch (value) {
+    case reset_reason::no_service:
+      return "no_service";
+    case reset_reason::no_target:
+      return "no_target";
+    case reset_reason::target_gone:
+      return "target_gone";
+    case reset_reason::target_restarted:
+      return "target_restarted";
+  }
+  return "unknown";
+}
+
+const char*
+to_string(drop_reason value)
+{
+  switch (value) {
+    case drop_reason::not_ready:
+      return "not_ready";
+    case drop_reason::stale_records:
+      return "stale_records";
+    case drop_reason::unknown_target:
+      return "unknown_target";
+    case drop_reason::ambiguous_target:
+      return "ambiguous_target";
+  }
+  return "unknown";
+}
+
+}
--- /dev/null
+++ b/libraries/coordination/steering/target_directory.cpp
@@ -0,0 +1,205 @@
+#include "coltsfootlock/coordination/steering/target_directory.h"
+
+#include <algorithm>
+#include <limits>
+
+#include <xxhash.h>
+
+namespace coltsfootlock {
+
+namespace {
+
+const std::vector<known_target*> no_targets;
+
+template<typename Index, typename Key>
+void
+erase_from(Index& index, const Key& key, const known_target* target)
+{
+  const auto found = index.find(key);
+  if (found == index.end()) {
+    return;
+  }
+  std::erase(found->second, target);
+  if (found->second.empty()) {
+    index.erase(found);
+  }
+}
+
+template<typename Index, typename Key>
+const std::vector<known_target*>&
+look_up(const Index& index, const Key& key)
+{
+  const auto found = index.find(key);
+  return found == index.end() ? no_targets : found->second;
+}
+
+}
+
+const char*
+to_string(target_phase value)
+{
+  switch (value) {
+    case target_phase::present:
+      return "present";
+    case target_phase::lapsed:
+      return "lapsed";
+    case target_phase::gone:
+      return "gone";
+  }
+  return "unknown";
+}
+
+target_token
+token_of_tag(std::uint64_t tag)
+{
+  if (tag != 0 && tag <= std::numeric_limits<target_token>::max()) {
+    return static_cast<target_token>(tag);
+  }
+  const auto token = static_cast<target_token>(XXH3_64bits(&tag, sizeof(tag)));
+  return token == 0 ? 1 : token;
+}
+
+void
+target_directory::index(known_target& target)
+{
+  by_token_[target.token].push_back(&target);
+  by_group_[target.record.vm.target_group].push_back(&target);
+}
+
+void
+target_directory::unindex(known_target& target)
+{
+  erase_from(by_token_, target.token, &target);
+  erase_from(by_group_, target.record.vm.target_group, &target);
+}
+
+known_target*
+target_directory::find(const vm_id& id)
+{
+  const auto found = targets_.find(id);
+  return found == targets_.end() ? nullptr : &found->second;
+}
+
+target_directory::effect
+target_directory::publish(const target_record& record, std::uint64_t revision, instant now)
+{
+  const auto [position, is_new] = targets_.try_emplace(record.vm.id);
+  known_target& target = position->second;
+  if (!is_new) {
+    if (revision >= target.revision) {
+      target.snapshot = snapshot_;
+    }
+    if (revision <= target.revision) {
+      return effect::none;
+    }
+    unindex(target);
+  }
+  const bool restarted = !is_new && target.record.vm.incarnation != record.vm.incarnation;
+  if (is_new || restarted || target.phase == target_phase::gone) {
+    target.suspected_until = instant{};
+    target.cold_allowance = 0;
+    target.cold_allowance_at = now;
+  }
+  target.record = record;
+  target.token = token_of_tag(record.tag);
+  target.revision = revision;
+  target.snapshot = snapshot_;
+  target.readable = true;
+  target.warm_at = now + record.warm_up_left;
+  if (is_new || target.phase != target_phase::present) {
+    target.phase = target_phase::present;
+    target.phase_since = now;
+  }
+  index(target);
+  return restarted ? effect::restarted : effect::changed;
+}
+
+bool
+target_directory::remove(const vm_id& id, std::uint64_t revision, instant settles_at, instant now)
+{
+  known_target* target = find(id);
+  if (target == nullptr || revision <= target->revision || target->phase != target_phase::present) {
+    return false;
+  }
+  target->revision = revision;
+  target->phase = settles_at > now ? target_phase::lapsed : target_phase::gone;
+  target->phase_since = now;
+  target->lapse_ends = settles_at;
+  return true;
+}
+
+void
+target_directory::mark_unreadable(const vm_id& id, std::uint64_t revision, instant now)
+{
+  known_target* target = find(id);
+  if (target == nullptr || revision <= target->revision) {
+    if (target != nullptr && revision == target->revision) {
+      target->snapshot = snapshot_;
+    }
+    return;
+  }
+  target->revision = revision;
+  target->snapshot = snapshot_;
+  target->readable = false;
+  target->phase = target_phase::present;
+  target->phase_since = now;
+}
+
+void
+target_directory::begin_snapshot()
+{
+  ++snapshot_;
+}
+
+std::size_t
+target_directory::end_snapshot(std::uint64_t revision, instant settles_at, instant now)
+{
+  std::size_t missing = 0;
+  for (auto& [id, target] : targets_) {
+    if (target.snapshot == snapshot_ || target.revision > revision) {
+      continue;
+    }
+    missing += remove(id, revision + 1, settles_at, now) ? 1 : 0;
+  }
+  return missing;
+}
+
+void
+target_directory::tick(milliseconds retention, instant now)
+{
+  for (auto position = targets_.begin(); position != targets_.end();) {
+    known_target& target = position->second;
+    if (target.phase == target_phase::lapsed && now >= target.lapse_ends) {
+      target.phase = target_phase::gone;
+      target.phase_since = now;
+    }
+    if (target.phase == target_phase::gone && now - target.phase_since > retention) {
+      unindex(target);
+      position = targets_.erase(position);
+      continue;
+    }
+    ++position;
+  }
+}
+
+const std::vector<known_target*>&
+target_directory::with_token(target_token token) const
+{
+  return look_up(by_token_, token);
+}
+
+const std::vector<known_target*>&
+target_directory::of_group(const std::string& group) const
+{
+  return look_up(by_group_, group);
+}
+
+void
+target_directory::for_each(const std::function<void(known_target&)>& visit)
+{
+  for (auto& [id, target] : targets_) {
+    visit(target);
+  }
+}
+
+}
--- a/libraries/protocol/catalogue_json.cpp
+++ b/libraries/protocol/catalogue_json.cpp
@@ -1,6 +1,6 @@
 #include "coltsfootlock/protocol/catalogue_json.h"
 
-#include "json_fields.h"
+#include "coltsfootlock/protocol/json_fields.h"
 
 #include <algorithm>
 #include <limits>
--- a/libraries/protocol/json_fields.cpp
+++ b/libraries/protocol/json_fields.cpp
@@ -1,4 +1,4 @@
-#include "json_fields.h"
+#include "coltsfootlock/protocol/json_fields.h"
 
 #include <algorithm>
 #include <utility>
--- /dev/null
+++ b/libraries/transport/page_server.cpp
@@ -0,0 +1,230 @@
+#include "coltsfootlock/transport/page_server.h"
+
+#include "socket_address.h"
+#include "tcp_stream.h"
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <list>
+#include <utility>
+
+#include <http_parser.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace coltsfootlock {
+
+namespace {
+
+/// Connections at once: the callers are the platform's readiness checks and a metrics reader.
+constexpr std::size_t most_connections = 32;
+
+/// A connection without a request for this long is closed; longer than the usual interval of readiness checks and
+/// scrapes.
+constexpr milliseconds idle_timeout{ 15000 };
+
+constexpr std::size_t longest_path = 256;
+constexpr int backlog = 64;
+
+struct connection
+{
+  tcp_stream stream;
+  http_parser parser{};
+  std::string path;
+  bool complete = false;
+  bool keep_alive = false;
+  std::string unsent;
+  instant last_used;
+
+  void restart()
+  {
+    http_parser_init(&parser, HTTP_REQUEST);
+    parser.data = this;
+    path.clear();
+    complete = false;
+  }
+
+  static int on_url(http_parser* parser, const char* data, std::size_t size)
+  {
+    auto& self = *static_cast<connection*>(parser->data);
+    if (self.path.size() + size > longest_path) {
+      return 1;
+    }
+    self.path.append(data, size);
+    return 0;
+  }
+
+  static int on_complete(http_parser* parser)
+  {
+    auto& self = *static_cast<connection*>(parser->data);
+    self.complete = true;
+    self.keep_alive = http_should_keep_alive(parser) != 0;
+    http_parser_pause(parser, 1);
+    return 0;
+  }
+};
+
+http_parser_settings
+parser_settings()
+{
+  http_parser_settings result;
+  http_parser_settings_init(&result);
+  result.on_url = &connection::on_url;
+  result.on_message_complete = &connection::on_complete;
+  return result;
+}
+
+const char*
+reason_phrase(int status)
+{
+  return http_status_str(static_cast<http_status>(status));
+}
+
+std::string
+to_bytes(const page& content, bool keep_alive)
+{
+  return "HTTP/1.1 " + std::to_string(content.status) + " " + reason_phrase(content.status) +
+         "\r\nContent-Type: " + content.content_type + "\r\nContent-Length: " + std::to_string(content.body.size()) +
+         (keep_alive ? "" : "\r\nConnection: close") + "\r\n\r\n" + content.body;
+}
+
+}
+
+struct page_server::implementation
+{
+  tcp_stream listener;
+  std::map<std::string, handler> pages;
+  std::list<connection> connections;
+
+  void accept_all(instant now);
+  page answer(const connection& caller) const;
+  /// False once the connection is over.
+  bool serve(connection& caller, instant now);
+};
+
+page_server::page_server(std::unique_ptr<implementation> parts)
+  : implementation_(std::move(parts))
+{
+}
+
+page_server::page_server(page_server&&) noexcept = default;
+page_server&
+page_server::operator=(page_server&&) noexcept = default;
+page_server::~page_server() = default;
+
+std::optional<page_server>
+page_server::listen(const endpoint& local, error& why)
+{
+  auto parts = std::make_unique<implementation>();
+  parts->listener = tcp_stream(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  const int on = 1;
+  const sockaddr_in address = to_socket_address(local);
+  if (!parts->listener.is_open() ||
+      ::setsockopt(parts->listener.descriptor(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) != 0 ||
+      ::bind(parts->listener.descriptor(), reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0 ||
+      ::listen(parts->listener.descriptor(), backlog) != 0) {
+    why = { error_kind::unavailable,
+            "cannot listen on " + to_string(local) + ": " + std::strerror(errno) +
+              "; choose an address of this VM and a free port" };
+    return std::nullopt;
+  }
+  return page_server(std::move(parts));
+}
+
+endpoint
+page_server::local() const
+{
+  sockaddr_in system{};
+  socklen_t length = sizeof(system);
+  ::getsockname(implementation_->listener.descriptor(), reinterpret_cast<sockaddr*>(&system), &length);
+  return { ntohl(system.sin_addr.s_addr), ntohs(system.sin_port) };
+}
+
+void
+page_server::add_page(const std::string& path, handler make)
+{
+  implementation_->pages[path] = std::move(make);
+}
+
+void
+page_server::add_descriptors(std::vector<pollfd>& wanted) const
+{
+  wanted.push_back({ implementation_->listener.descriptor(), POLLIN, 0 });
+  for (const connection& caller : implementation_->connections) {
+    const auto events = static_cast<short>(caller.unsent.empty() ? POLLIN : POLLIN | POLLOUT);
+    wanted.push_back({ caller.stream.descriptor(), events, 0 });
+  }
+}
+
+void
+page_server::implementation::accept_all(instant now)
+{
+  while (true) {
+    const int descriptor = ::accept4(listener.descriptor(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (descriptor < 0) {
+      return;
+    }
+    if (connections.size() >= most_connections) {
+      connections.pop_front();
+    }
+    connection& added = connections.emplace_back();
+    added.stream = tcp_stream(descriptor);
+    added.last_used = now;
+    added.restart();
+  }
+}
+
+page
+page_server::implementation::answer(const connection& caller) const
+{
+  if (caller.parser.method != HTTP_GET) {
+    return { 405, "", "text/plain" };
+  }
+  const auto found = pages.find(caller.path.substr(0, caller.path.find('?')));
+  return found == pages.end() ? page{ 404, "", "text/plain" } : found->second();
+}
+
+bool
+page_server::implementation::serve(connection& caller, instant now)
+{
+  static const http_parser_settings settings = parser_settings();
+  std::array<char, 4096> buffer;
+  while (true) {
+    if (!caller.unsent.empty() && caller.stream.write(caller.unsent) == tcp_stream::state::broken) {
+      return false;
+    }
+    std::size_t size = 0;
+    const auto state = caller.stream.read(buffer.data(), buffer.size(), size);
+    if (state == tcp_stream::state::waiting) {
+      return now - caller.last_used < idle_timeout;
+    }
+    if (state == tcp_stream::state::broken) {
+      return false;
+    }
+    const std::size_t parsed = http_parser_execute(&caller.parser, &settings, buffer.data(), size);
+    if (!caller.complete && parsed < size) {
+      return false;
+    }
+    if (!caller.complete) {
+      continue;
+    }
+    caller.last_used = now;
+    caller.unsent += to_bytes(answer(caller), caller.keep_alive);
+    if (!caller.keep_alive) {
+      caller.stream.write(caller.unsent);
+      return false;
+    }
+    caller.restart();
+  }
+}
+
+void
+page_server::advance(instant now)
+{
+  implementation_->accept_all(now);
+  std::erase_if(implementation_->connections,
+                [this, now](connection& caller) { return !implementation_->serve(caller, now); });
+}
+
+}
--- /dev/null
+++ b/libraries/transport/tcp_stream.cpp
@@ -0,0 +1,94 @@
+#include "tcp_stream.h"
+
+#include "socket_address.h"
+
+#include <cerrno>
+#include <utility>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace coltsfootlock {
+
+tcp_stream::tcp_stream(int descriptor)
+  : descriptor_(descriptor)
+{
+}
+
+tcp_stream::tcp_stream(tcp_stream&& other) noexcept
+  : descriptor_(std::exchange(other.descriptor_, -1))
+{
+}
+
+tcp_stream&
+tcp_stream::operator=(tcp_stream&& other) noexcept
+{
+  std::swap(descriptor_, other.descriptor_);
+  return *this;
+}
+
+tcp_stream::~tcp_stream()
+{
+  close();
+}
+
+void
+tcp_stream::close()
+{
+  if (descriptor_ >= 0) {
+    ::close(std::exchange(descriptor_, -1));
+  }
+}
+
+tcp_stream
+tcp_stream::connect(const endpoint& server)
+{
+  tcp_stream result(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  if (!result.is_open()) {
+    return result;
+  }
+  const int on = 1;
+  ::setsockopt(result.descriptor_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  const sockaddr_in address = to_socket_address(server);
+  if (::connect(result.descriptor_, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0 &&
+      errno != EINPROGRESS) {
+    result.close();
+  }
+  return result;
+}
+
+tcp_stream::state
+tcp_stream::write(std::string& bytes)
+{
+  while (!bytes.empty()) {
+    const ssize_t sent = ::send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    if (sent < 0 && errno == EINTR) {
+      continue;
+    }
+    if (sent < 0) {
+      const bool later = errno == EAGAIN || errno == EWOULDBLOCK || errno == ENOTCONN || errno == EINPROGRESS;
+      return later ? state::waiting : state::broken;
+    }
+    bytes.erase(0, static_cast<std::size_t>(sent));
+  }
+  return state::done;
+}
+
+tcp_stream::state
+tcp_stream::read(char* memory, std::size_t capacity, std::size_t& size)
+{
+  const ssize_t received = ::recv(descriptor_, memory, capacity, 0);
+  if (received > 0) {
+    size = static_cast<std::size_t>(received);
+    return state::done;
+  }
+  if (received == 0) {
+    return state::broken;
+  }
+  const bool later = errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR || errno == ENOTCONN;
+  return later ? state::waiting : state::broken;
+}
+
+}
--- a/libraries/transport/udp_socket.cpp
+++ b/libraries/transport/udp_socket.cpp
@@ -1,5 +1,7 @@
 #include "coltsfootlock/transport/udp_socket.h"
 
+#include "socket_address.h"
+
 #include <array>
 #include <cerrno>
 #include <cstring>
@@ -17,16 +19,6 @@
 constexpr std::size_t largest_datagram = 65536;
 constexpr int socket_buffer_bytes = 4 * 1024 * 1024; // Bursts of a fabric exceed the default of 208 KiB.
 
-sockaddr_in
-to_system(const endpoint& value)
-{
-  sockaddr_in system{};
-  system.sin_family = AF_INET;
-  system.sin_addr.s_addr = htonl(value.address);
-  system.sin_port = htons(value.port);
-  return system;
-}
-
 endpoint
 from_system(const sockaddr_in& system)
 {
@@ -46,7 +38,7 @@
   udp_socket result(descriptor);
   ::setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &socket_buffer_bytes, sizeof(socket_buffer_bytes));
   ::setsockopt(descriptor, SOL_SOCKET, SO_SNDBUF, &socket_buffer_bytes, sizeof(socket_buffer_bytes));
-  const sockaddr_in system = to_system(local);
+  const sockaddr_in system = to_socket_address(local);
   if (::bind(descriptor, reinterpret_cast<const sockaddr*>(&system), sizeof(system)) != 0) {
     why = { error_kind::unavailable,
             "cannot bind " + to_string(local) + ": " + std::strerror(errno) +
@@ -98,7 +90,7 @@
 bool
 udp_socket::send(const endpoint& to, std::string_view content)
 {
-  const sockaddr_in system = to_system(to);
+  const sockaddr_in system = to_socket_address(to);
   const ssize_t sent = ::sendto(
     descriptor_, content.data(), content.size(), 0, reinterpret_cast<const sockaddr*>(&system), sizeof(system));
   return sent == static_cast<ssize_t>(content.size());
@@ -118,4 +110,14 @@
   return received_datagram{ from_system(system), std::string(buffer.data(), static_cast<std::size_t>(received)) };
 }
 
+std::optional<std::size_t>
+udp_socket::receive_into(std::span<char> memory)
+{
+  const ssize_t received = ::recv(descriptor_, memory.data(), memory.size(), 0);
+  if (received < 0) {
+    return std::nullopt;
+  }
+  return static_cast<std::size_t>(received);
+}
+
 }
--- /dev/null
+++ b/programs/coltsfootlockd/carried/carried_daemon.cpp
@@ -0,0 +1,308 @@
+#include "carried/carried_daemon.h"
+
+#include "carried/carried_metrics.h"
+#include "carried/carried_settings.h"
+#include "carried/packet_path.h"
+#include "carried/record_path.h"
+#include "command_line.h"
+#include "exit_codes.h"
+
+#include "coltsfootlock/coordination/rendezvous.h"
+#include "coltsfootlock/coordination/steering/steering_timing.h"
+#include "coltsfootlock/transport/boot_clock.h"
+#include "coltsfootlock/transport/log.h"
+#include "coltsfootlock/transport/page_server.h"
+
+#include <algorithm>
+#include <csignal>
+#include <iostream>
+#include <memory>
+
+#include <unistd.h>
+
+namespace coltsfootlock {
+
+namespace {
+
+/// How often waiting log lines are written.
+constexpr milliseconds log_interval{ 250 };
+
+/// How often the settings file is compared, in case it changes without a signal.
+constexpr milliseconds settings_interval{ 2000 };
+
+/// After SIGTERM the daemon leaves once the platform has seen it as not ready this often, which takes it out of
+/// rotation, and no packet has come for a while.
+constexpr int refusals_before_leaving = 2;
+constexpr milliseconds quiet_before_leaving{ 300 };
+
+/// Left of the grace period for the process to end by itself.
+constexpr milliseconds exit_margin{ 1000 };
+
+volatile std::sig_atomic_t termination_requested = 0;
+volatile std::sig_atomic_t reload_requested = 0;
+
+void
+on_signal(int signal)
+{
+  if (signal == SIGHUP) {
+    reload_requested = 1;
+  } else {
+    termination_requested = 1;
+  }
+}
+
+void
+install_signal_handlers()
+{
+  struct sigaction action = {};
+  action.sa_handler = &on_signal;
+  sigaction(SIGTERM, &action, nullptr);
+  sigaction(SIGINT, &action, nullptr);
+  sigaction(SIGHUP, &action, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+}
+
+class carried_daemon
+{
+public:
+  carried_daemon(value_map given, const carried_settings& settings, udp_socket socket, page_server ready_server)
+    : given_(std::move(given))
+    , settings_(settings)
+    , engine_(settings.steering)
+    , packets_(std::move(socket), engine_)
+    , records_(settings.platform,
+               settings.follower,
+               static_cast<std::uint32_t>(hash_text(settings.steering.self)),
+               engine_)
+    , ready_server_(std::move(ready_server))
+  {
+    ready_server_.add_page("/ready", [this] { return ready_page(); });
+  }
+
+  void serve_metrics(page_server server);
+
+  /// Returns after SIGTERM.
+  void run();
+
+private:
+  page ready_page();
+  bool is_ready() const { return engine_.knows_records() && !leaving_since_; }
+  bool may_leave(instant now) const;
+  int wait_time(instant now) const;
+  void wait_and_handle();
+  void run_duties(instant now);
+  void log_beliefs();
+  void reload(bool signalled);
+
+  const value_map given_;
+  carried_settings settings_;
+  steering_engine engine_;
+  packet_path packets_;
+  record_path records_;
+  page_server ready_server_;
+  std::optional<page_server> metrics_server_;
+  std::vector<pollfd> descriptors_;
+  instant now_;
+  instant next_tick_;
+  instant next_log_;
+  instant next_settings_check_;
+  std::optional<instant> leaving_since_;
+  int refusals_while_leaving_ = 0;
+  bool was_ready_ = false;
+};
+
+void
+carried_daemon::serve_metrics(page_server server)
+{
+  metrics_server_ = std::move(server);
+  metrics_server_->add_page("/metrics", [this] {
+    return page{ 200, carried_metrics(engine_, packets_, records_, is_ready(), now_), "text/plain; version=0.0.4" };
+  });
+}
+
+page
+carried_daemon::ready_page()
+{
+  if (leaving_since_) {
+    ++refusals_while_leaving_;
+  }
+  return is_ready() ? page{ 200, "{}" } : page{ 503, "{}" };
+}
+
+bool
+carried_daemon::may_leave(instant now) const
+{
+  if (!leaving_since_) {
+    return false;
+  }
+  const bool out_of_rotation = refusals_while_leaving_ >= refusals_before_leaving;
+  return (out_of_rotation && now - packets_.last_packet() > quiet_before_leaving) ||
+         now - *leaving_since_ > settings_.shutdown_grace - exit_margin;
+}
+
+int
+carried_daemon::wait_time(instant now) const
+{
+  const instant next = std::min(next_tick_, records_.wakes_at());
+  const auto left = std::chrono::ceil<milliseconds>(next - now).count();
+  return static_cast<int>(std::clamp<milliseconds::rep>(left, 0, steering_timing::tick_interval.count()));
+}
+
+void
+carried_daemon::wait_and_handle()
+{
+  descriptors_.clear();
+  descriptors_.push_back({ packets_.descriptor(), POLLIN, 0 });
+  records_.add_descriptor(descriptors_);
+  const std::size_t first_page = descriptors_.size();
+  ready_server_.add_descriptors(descriptors_);
+  const std::size_t first_metrics = descriptors_.size();
+  if (metrics_server_) {
+    metrics_server_->add_descriptors(descriptors_);
+  }
+  ::poll(descriptors_.data(), descriptors_.size(), wait_time(now_));
+  now_ = boot_clock_now();
+  const auto any_ready = [this](std::size_t begin, std::size_t end) {
+    return std::any_of(descriptors_.begin() + static_cast<std::ptrdiff_t>(begin),
+                       descriptors_.begin() + static_cast<std::ptrdiff_t>(end),
+                       [](const pollfd& waited) { return waited.revents != 0; });
+  };
+  if (any_ready(0, 1)) {
+    packets_.advance(records_.confirmed_at(), now_);
+  }
+  records_.advance(any_ready(1, first_page), now_);
+  const bool tick_due = now_ >= next_tick_;
+  if (tick_due || any_ready(first_page, first_metrics)) {
+    ready_server_.advance(now_);
+  }
+  if (metrics_server_ && (tick_due || any_ready(first_metrics, descriptors_.size()))) {
+    metrics_server_->advance(now_);
+  }
+}
+
+void
+carried_daemon::log_beliefs()
+{
+  for (const belief_change& change : engine_.take_belief_changes()) {
+    write_log(log_level::info, change.part, change.message);
+  }
+  if (is_ready() != was_ready_) {
+    was_ready_ = is_ready();
+    write_log(log_level::info, "daemon", was_ready_ ? "ready" : "not ready");
+  }
+}
+
+void
+carried_daemon::reload(bool signalled)
+{
+  error why;
+  const auto values = effective_values(given_, why);
+  const auto changed = values ? read_carried_settings(*values, why) : std::nullopt;
+  if (!changed) {
+    write_log(log_level::error, "daemon", "settings refused, the previous ones stay: " + why.message);
+    return;
+  }
+  if (*changed == settings_) {
+    if (signalled) {
+      write_log(log_level::info, "daemon", "settings read again, nothing changed");
+    }
+    return;
+  }
+  if (changed->packet_address != settings_.packet_address || changed->ready_address != settings_.ready_address ||
+      changed->steering.self != settings_.steering.self || changed->steering.domain != settings_.steering.domain) {
+    write_log(log_level::warning, "daemon", "own name, domain and addresses take effect at the next start");
+  }
+  steering_settings steering = changed->steering;
+  steering.self = settings_.steering.self;
+  steering.domain = settings_.steering.domain;
+  engine_.set_settings(steering);
+  records_.set_store(changed->platform);
+  settings_ = *changed;
+  write_log(log_level::info, "daemon", "settings changed");
+}
+
+void
+carried_daemon::run_duties(instant now)
+{
+  if (termination_requested != 0 && !leaving_since_) {
+    leaving_since_ = now;
+    write_log(log_level::info, "daemon", "leaving flows=" + std::to_string(engine_.flows()));
+  }
+  const bool signalled = reload_requested != 0;
+  if (signalled || now >= next_settings_check_) {
+    reload_requested = 0;
+    next_settings_check_ = now + settings_interval;
+    reload(signalled);
+  }
+  if (now >= next_tick_) {
+    next_tick_ = now + steering_timing::tick_interval;
+    packets_.send_resets(engine_.tick(now), now);
+  }
+  log_beliefs();
+  if (now >= next_log_) {
+    next_log_ = now + log_interval;
+    packets_.report_suppressed();
+    flush_log();
+  }
+}
+
+void
+carried_daemon::run()
+{
+  now_ = boot_clock_now();
+  next_settings_check_ = now_ + settings_interval;
+  engine_.tick(now_);
+  while (!may_leave(now_)) {
+    wait_and_handle();
+    run_duties(now_);
+  }
+  write_log(log_level::info, "daemon", "left");
+}
+
+int
+fail(int code, const error& why)
+{
+  std::cerr << "coltsfootlockd: " << why.message << '\n';
+  return code;
+}
+
+}
+
+int
+run_carried_mode(const value_map& given, bool only_check)
+{
+  error why;
+  const auto values = effective_values(given, why);
+  const auto settings = values ? read_carried_settings(*values, why) : std::nullopt;
+  if (!settings) {
+    return fail(exit_wrong_settings, why);
+  }
+  if (only_check) {
+    std::cout << "The settings are valid.\n";
+    return 0;
+  }
+  install_signal_handlers();
+  auto socket = udp_socket::bind(settings->packet_address, why);
+  auto ready_server = socket ? page_server::listen(settings->ready_address, why) : std::nullopt;
+  if (!ready_server) {
+    return fail(exit_cannot_start, why);
+  }
+  start_unthreaded_log(STDOUT_FILENO, settings->lowest_level);
+  carried_daemon daemon(given, *settings, std::move(*socket), std::move(*ready_server));
+  if (settings->metrics_address) {
+    auto metrics_server = page_server::listen(*settings->metrics_address, why);
+    if (!metrics_server) {
+      return fail(exit_cannot_start, why);
+    }
+    daemon.serve_metrics(std::move(*metrics_server));
+  }
+  write_log(log_level::info,
+            "daemon",
+            "starts vm=" + settings->steering.self + " domain=" + settings->steering.domain +
+              " packets=" + to_string(settings->packet_address) + " store=" + to_string(settings->platform));
+  daemon.run();
+  stop_log();
+  return 0;
+}
+
+}
--- /dev/null
+++ b/programs/coltsfootlockd/carried/carried_metrics.cpp
@@ -0,0 +1,93 @@
+#include "carried/carried_metrics.h"
+
+#include "metric_builder.h"
+
+#include "coltsfootlock/transport/log.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace coltsfootlock {
+
+namespace {
+
+template<typename Reason, std::size_t Count>
+void
+add_by_reason(metric_builder& metrics, const std::array<std::uint64_t, Count>& counts)
+{
+  for (std::size_t reason = 0; reason < Count; ++reason) {
+    metrics.add(static_cast<double>(counts[reason]), { { "reason", to_string(static_cast<Reason>(reason)) } });
+  }
+}
+
+void
+add_engine(const steering_engine& engine, metric_builder& metrics)
+{
+  const steering_counters& counters = engine.counters();
+  metrics.begin_counter("packets_forwarded_total", "Packets sent to targets, by reason.");
+  add_by_reason<forward_reason>(metrics, counters.forwarded);
+  metrics.begin_counter("flows_reset_total", "Resets sent to callers, by reason.");
+  add_by_reason<reset_reason>(metrics, counters.resets);
+  metrics.begin_counter("packets_discarded_total", "Packets of callers that were not forwarded, by reason.");
+  add_by_reason<drop_reason>(metrics, counters.dropped);
+  metrics.counter("target_suspicions_total",
+                  "Times that a target got no new flows because it did not answer.",
+                  static_cast<double>(counters.suspicions));
+  metrics.gauge("flows", "Flows seen and not ended.", static_cast<double>(engine.flows()));
+  metrics.gauge("targets", "Targets known, including those that are gone.", static_cast<double>(engine.targets()));
+  const catalogue* services = engine.current_catalogue();
+  metrics.gauge("catalogue_version",
+                "Version of the catalogue in force; 0 if none is known.",
+                services == nullptr ? 0 : static_cast<double>(services->version));
+}
+
+void
+add_records(const record_path& records, instant now, metric_builder& metrics)
+{
+  const record_counters& counters = records.counters();
+  metrics.begin_counter("store_calls_total", "Calls to the platform's store, by kind.");
+  metrics.add(static_cast<double>(counters.lists), { { "kind", "list" } });
+  metrics.add(static_cast<double>(counters.watches), { { "kind", "watch" } });
+  metrics.counter("store_failures_total",
+                  "Calls to the platform's store without a usable answer.",
+                  static_cast<double>(counters.failures));
+  metrics.counter("record_changes_total", "Changes read from the store.", static_cast<double>(counters.changes));
+  const auto confirmed = records.confirmed_at();
+  metrics.gauge("records_age_seconds",
+                "Time since the records were last known to be complete; -1 if they never were.",
+                confirmed ? std::chrono::duration<double>(now - *confirmed).count() : -1);
+  metrics.gauge("store_revision", "Revision of the records.", static_cast<double>(records.revision()));
+}
+
+prometheus::MetricFamily
+histogram_family(const std::string& name, const std::string& help, const prometheus::Histogram& histogram)
+{
+  return { "coltsfootlock_" + name, help, prometheus::MetricType::Histogram, { histogram.Collect() } };
+}
+
+}
+
+std::string
+carried_metrics(const steering_engine& engine,
+                const packet_path& packets,
+                const record_path& records,
+                bool ready,
+                instant now)
+{
+  metric_builder metrics;
+  add_engine(engine, metrics);
+  add_records(records, now, metrics);
+  metrics.gauge("ready", "1 while the daemon asks for traffic.", ready ? 1 : 0);
+  metrics.counter(
+    "packets_malformed_total", "Datagrams that are no packet.", static_cast<double>(packets.counters().malformed));
+  metrics.counter("send_failures_total",
+                  "Datagrams that the system did not take.",
+                  static_cast<double>(packets.counters().send_failures));
+  metrics.counter(
+    "log_lines_dropped_total", "Log lines lost because too many waited.", static_cast<double>(dropped_log_lines()));
+  auto families = metrics.take();
+  families.push_back(
+    histogram_family("store_list_seconds", "Time of a list call to the platform's store.", records.list_seconds()));
+  return prometheus::TextSerializer().Serialize(families);
+}
+
+}
--- /dev/null
+++ b/programs/coltsfootlockd/carried/carried_settings.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "setting_values.h"
+
+#include "coltsfootlock/coordination/steering/record_follower.h"
+#include "coltsfootlock/coordination/steering/steering_settings.h"
+
+#include <compare>
+#include <optional>
+#include <vector>
+
+namespace coltsfootlock {
+
+/// Checked settings of a daemon that routes carried flows. docs/SETTINGS.md describes them.
+struct carried_settings
+{
+  endpoint packet_address;
+  endpoint ready_address;
+  std::optional<endpoint> metrics_address;
+  std::optional<std::uint16_t> peer_port;
+  endpoint platform;
+  std::vector<endpoint> seeds;
+  log_level lowest_level = log_level::info;
+  milliseconds shutdown_grace{ 6000 };
+  steering_settings steering;
+  follower_settings follower;
+
+  auto operator<=>(const carried_settings&) const = default;
+};
+
+/// Empty with the reason in `why` if a value is missing or wrong.
+std::optional<carried_settings>
+read_carried_settings(const value_map& values, error& why);
+
+}
--- /dev/null
+++ b/programs/coltsfootlockd/carried/line_budget.cpp
@@ -0,0 +1,28 @@
+#include "carried/line_budget.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace coltsfootlock {
+
+bool
+line_budget::allow(instant now)
+{
+  const std::chrono::duration<double> passed = now - counted_;
+  left_ = std::min(per_second_, left_ + passed.count() * per_second_);
+  counted_ = now;
+  if (left_ < 1) {
+    ++suppressed_;
+    return false;
+  }
+  left_ -= 1;
+  return true;
+}
+
+std::uint64_t
+line_budget::take_suppressed()
+{
+  return std::exchange(suppressed_, 0);
+}
+
+}
--- a/programs/coltsfootlockd/command_line.cpp
+++ b/programs/coltsfootlockd/command_line.cpp
@@ -2,6 +2,9 @@
 
 #include "parsed_flags.h"
 #include "setting_definition.h"
+#include "settings_file.h"
+
+#include <algorithm>
 
 namespace coltsfootlock {
 
@@ -65,6 +68,33 @@
   return result;
 }
 
+std::optional<std::map<std::string, std::string>>
+effective_values(const std::map<std::string, std::string>& values, error& why)
+{
+  const auto path = values.find("config");
+  if (path == values.end()) {
+    return values;
+  }
+  std::string text;
+  auto result = read_settings_file(path->second, text, why);
+  if (!result) {
+    return std::nullopt;
+  }
+  for (const auto& [flag, value] : *result) {
+    const auto& known = setting_definitions();
+    const auto is_it = [&name = flag](const setting_definition& definition) { return definition.flag == name; };
+    if (std::none_of(known.begin(), known.end(), is_it)) {
+      why = { error_kind::unknown_name,
+              "--config \"" + path->second + "\": " + flag + " is not a setting; see coltsfootlockd --help" };
+      return std::nullopt;
+    }
+  }
+  for (const auto& [flag, value] : values) {
+    (*result)[flag] = value;
+  }
+  return result;
+}
+
 std::string
 help_text()
 {
--- a/programs/coltsfootlockd/command_line.h
+++ b/programs/coltsfootlockd/command_line.h
@@ -29,6 +29,11 @@
                                            error& why);
 };
 
+/// Adds the values of the settings file that --config names to those of the command line, which take precedence. Empty
+/// with the reason in `why` if the file cannot be read or has an unknown flag.
+std::optional<std::map<std::string, std::string>>
+effective_values(const std::map<std::string, std::string>& values, error& why);
+
 /// The text of --help.
 std::string
 help_text();
--- a/programs/coltsfootlockd/main.cpp
+++ b/programs/coltsfootlockd/main.cpp
@@ -1,12 +1,9 @@
+#include "carried/carried_daemon.h"
 #include "command_line.h"
-#include "daemon.h"
-#include "read_settings.h"
+#include "exit_codes.h"
+#include "recorded_mode.h"
+#include "settings_file.h"
 
-#include "coltsfootlock/transport/log.h"
-
-#include <sodium.h>
-
-#include <csignal>
 #include <iostream>
 #include <map>
 #include <string>
@@ -19,9 +16,6 @@
 
 namespace {
 
-constexpr int cannot_start = 1;
-constexpr int wrong_settings = 2;
-
 std::map<std::string, std::string>
 read_environment()
 {
@@ -43,40 +37,6 @@
   return code;
 }
 
-/// Blocks the signals that end the daemon in this thread and in those that it starts.
-sigset_t
-block_termination()
-{
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  // A peer that closes a connection early must not end the process.
-  std::signal(SIGPIPE, SIG_IGN);
-  return signals;
-}
-
-int
-run(const settings& values)
-{
-  const sigset_t signals = block_termination();
-  start_log(std::cerr, values.lowest_level);
-  error why;
-  auto running = daemon::start(values, why);
-  if (!running) {
-    stop_log();
-    return fail(cannot_start, why);
-  }
-  int received = 0;
-  sigwait(&signals, &received);
-  running->leave();
-  running.reset();
-  write_log(log_level::info, "daemon", "left");
-  stop_log();
-  return 0;
-}
-
 }
 
 int
@@ -85,7 +45,7 @@
   error why;
   const auto command = command_line::parse(std::vector<std::string>(argv, argv + argc), read_environment(), why);
   if (!command) {
-    return fail(wrong_settings, why);
+    return fail(exit_wrong_settings, why);
   }
   if (command->wanted == command_line::purpose::help) {
     std::cout << help_text();
@@ -95,16 +55,17 @@
     std::cout << "coltsfootlockd " COLTSFOOTLOCK_VERSION "\n";
     return 0;
   }
-  if (sodium_init() < 0) {
-    return fail(cannot_start, { error_kind::unavailable, "libsodium cannot be initialised" });
-  }
-  const auto values = read_settings(command->values, why);
+  const bool only_check = command->wanted == command_line::purpose::check_settings;
+  const auto values = effective_values(command->values, why);
   if (!values) {
-    return fail(wrong_settings, why);
+    return fail(exit_wrong_settings, why);
   }
-  if (command->wanted == command_line::purpose::check_settings) {
-    std::cout << "The settings are valid.\n";
-    return 0;
+  const auto routing = values->find("flow-routing");
+  if (routing == values->end() || routing->second == "recorded") {
+    return run_recorded_mode(*values, only_check);
+  }
+  if (routing->second != "carried") {
+    return fail(exit_wrong_settings, wrong_value("flow-routing", routing->second, "give recorded or carried"));
   }
-  return run(*values);
+  return run_carried_mode(command->values, only_check);
 }
--- a/programs/coltsfootlockd/read_settings.cpp
+++ b/programs/coltsfootlockd/read_settings.cpp
@@ -1,9 +1,8 @@
 #include "read_settings.h"
 
 #include "number_setting.h"
+#include "setting_values.h"
 
-#include <algorithm>
-#include <charconv>
 #include <fstream>
 #include <iterator>
 
@@ -11,60 +10,6 @@
 
 namespace {
 
-using value_map = std::map<std::string, std::string>;
-
-constexpr std::size_t longest_name = 48;
-constexpr std::size_t most_seeds = 16;
-constexpr const char* name_characters = "abcdefghijklmnopqrstuvwxyz0123456789-";
-
-error
-wrong_value(const std::string& flag, const std::string& value, const std::string& remedy)
-{
-  return { error_kind::out_of_range, "--" + flag + " \"" + value + "\": " + remedy };
-}
-
-std::optional<std::string>
-required(const value_map& values, const std::string& flag, error& why)
-{
-  const auto found = values.find(flag);
-  if (found == values.end()) {
-    why = { error_kind::missing_field, "--" + flag + " is required; see coltsfootlockd --help" };
-    return std::nullopt;
-  }
-  return found->second;
-}
-
-bool
-read_name(const value_map& values, const std::string& flag, std::string& result, error& why)
-{
-  const auto text = required(values, flag, why);
-  if (!text) {
-    return false;
-  }
-  if (text->empty() || text->size() > longest_name || text->find_first_not_of(name_characters) != std::string::npos) {
-    why = wrong_value(flag, *text, "give 1 to 48 lower-case letters, digits or '-', as in the VM list");
-    return false;
-  }
-  result = *text;
-  return true;
-}
-
-bool
-read_address(const value_map& values, const std::string& flag, endpoint& result, error& why)
-{
-  const auto text = required(values, flag, why);
-  if (!text) {
-    return false;
-  }
-  const auto address = parse_endpoint(*text);
-  if (!address) {
-    why = wrong_value(flag, *text, "give an IPv4 address and a port, for example 10.0.0.7:4000");
-    return false;
-  }
-  result = *address;
-  return true;
-}
-
 bool
 read_addresses(const value_map& values, settings& result, error& why)
 {
@@ -74,36 +19,7 @@
       !read_address(values, "fabric", result.fabric, why) || !read_address(values, "platform", result.platform, why)) {
     return false;
   }
-  if (values.count("metrics-address") == 0) {
-    return true;
-  }
-  endpoint address;
-  if (!read_address(values, "metrics-address", address, why)) {
-    return false;
-  }
-  result.metrics_address = address;
-  return true;
-}
-
-bool
-read_seeds(const value_map& values, settings& result, error& why)
-{
-  const auto found = values.find("seeds");
-  if (found == values.end() || found->second.empty()) {
-    return true;
-  }
-  std::size_t start = 0;
-  while (start <= found->second.size()) {
-    const std::size_t end = std::min(found->second.find(',', start), found->second.size());
-    const auto address = parse_endpoint(std::string_view(found->second).substr(start, end - start));
-    if (!address || result.seeds.size() == most_seeds) {
-      why = wrong_value("seeds", found->second, "give up to 16 addresses such as 10.0.0.7:4000, separated by commas");
-      return false;
-    }
-    result.seeds.push_back(*address);
-    start = end + 1;
-  }
-  return true;
+  return read_optional_address(values, "metrics-address", result.metrics_address, why);
 }
 
 std::optional<std::string>
@@ -163,37 +79,11 @@
   return read_key(values, "fleet-key-next", result, why);
 }
 
-bool
-read_level(const value_map& values, settings& result, error& why)
-{
-  const auto found = values.find("log-level");
-  if (found == values.end()) {
-    return true;
-  }
-  const auto level = parse_log_level(found->second);
-  if (!level) {
-    why = wrong_value("log-level", found->second, "give debug, info, warning or error");
-    return false;
-  }
-  result.lowest_level = *level;
-  return true;
-}
-
 bool
 read_number(const value_map& values, const number_setting& setting, timing& times, error& why)
 {
-  const auto found = values.find(setting.flag);
-  if (found == values.end()) {
-    return true;
-  }
-  const std::string& text = found->second;
-  std::uint64_t value = 0;
-  const auto [end, status] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (status != std::errc() || end != text.data() + text.size() || value < setting.lowest || value > setting.highest) {
-    why = wrong_value(setting.flag,
-                      text,
-                      "give a whole number of " + setting.unit + " from " + std::to_string(setting.lowest) + " to " +
-                        std::to_string(setting.highest));
+  std::uint64_t value = setting.get(times);
+  if (!read_whole_number(values, setting.flag, setting.unit, setting.lowest, setting.highest, value, why)) {
     return false;
   }
   setting.set(times, value);
@@ -242,8 +132,8 @@
 {
   settings result;
   if (!read_name(values, "vm-id", result.self, why) || !read_name(values, "domain", result.domain, why) ||
-      !read_addresses(values, result, why) || !read_seeds(values, result, why) || !read_keys(values, result, why) ||
-      !read_level(values, result, why)) {
+      !read_addresses(values, result, why) || !read_seeds(values, result.seeds, why) ||
+      !read_keys(values, result, why) || !read_level(values, result.lowest_level, why)) {
     return std::nullopt;
   }
   for (const number_setting& setting : number_settings()) {
--- a/programs/coltsfootlockd/setting_definition.cpp
+++ b/programs/coltsfootlockd/setting_definition.cpp
@@ -16,6 +16,16 @@
 all_definitions()
 {
   std::vector<setting_definition> result = {
+    { "config",
+      "path",
+      "",
+      "readable file",
+      "File with further settings, one \"flag = value\" per line; flags and variables take precedence" },
+    { "flow-routing",
+      "kind",
+      "recorded",
+      "recorded, carried",
+      "How the target of a flow is found: recorded by the daemons, or carried by the flow's packets" },
     { "vm-id", "name", "", "1 to 48 of a-z, 0-9 and '-'", "Name of this VM in the VM list; required" },
     { "domain", "name", "", "1 to 48 of a-z, 0-9 and '-'", "Failure domain of this VM; required" },
     { "packet-address", "IP:port", "", address_range, "UDP address for packets of the fabric; required" },
@@ -31,6 +41,11 @@
       "Call addresses of peers, asked for the records until some are known" },
     { "fleet-key-file", "path", "", key_range, "File with the fleet key; required unless given in the environment" },
     { "fleet-key-next-file", "path", "", key_range, "File with a second accepted key, for rotation" },
+    { "ready-address", "IP:port", "", address_range, "Carried: TCP address of GET /ready; required" },
+    { "peer-port", "port", "", "1 to 65535", "Carried: UDP port of every daemon for datagrams of other daemons" },
+    { "target-heartbeat", "ms", "1000", "10 to 60000", "Carried: interval of the targets' reports to the platform" },
+    { "flow-lifetime-s", "s", "60", "1 to 86400", "Carried: flows older than this may be forgotten" },
+    { "shutdown-grace-s", "s", "6", "1 to 600", "Carried: time from SIGTERM until the process must have ended" },
     { "log-level", "level", "info", "debug, info, warning, error", "Lowest level of the lines in the log" },
   };
   for (const number_setting& setting : number_settings()) {
--- /dev/null
+++ b/programs/coltsfootlockd/setting_values.cpp
@@ -0,0 +1,143 @@
+#include "setting_values.h"
+
+#include <algorithm>
+#include <charconv>
+#include <string_view>
+
+namespace coltsfootlock {
+
+namespace {
+
+constexpr std::size_t longest_name = 48;
+constexpr std::size_t most_seeds = 16;
+constexpr const char* name_characters = "abcdefghijklmnopqrstuvwxyz0123456789-";
+
+std::optional<std::string>
+required(const value_map& values, const std::string& flag, error& why)
+{
+  const auto found = values.find(flag);
+  if (found == values.end()) {
+    why = { error_kind::missing_field, "--" + flag + " is required; see coltsfootlockd --help" };
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+}
+
+error
+wrong_value(const std::string& flag, const std::string& value, const std::string& remedy)
+{
+  return { error_kind::out_of_range, "--" + flag + " \"" + value + "\": " + remedy };
+}
+
+bool
+read_name(const value_map& values, const std::string& flag, std::string& result, error& why)
+{
+  const auto text = required(values, flag, why);
+  if (!text) {
+    return false;
+  }
+  if (text->empty() || text->size() > longest_name || text->find_first_not_of(name_characters) != std::string::npos) {
+    why = wrong_value(flag, *text, "give 1 to 48 lower-case letters, digits or '-', as in the VM list");
+    return false;
+  }
+  result = *text;
+  return true;
+}
+
+bool
+read_address(const value_map& values, const std::string& flag, endpoint& result, error& why)
+{
+  const auto text = required(values, flag, why);
+  if (!text) {
+    return false;
+  }
+  const auto address = parse_endpoint(*text);
+  if (!address) {
+    why = wrong_value(flag, *text, "give an IPv4 address and a port, for example 10.0.0.7:4000");
+    return false;
+  }
+  result = *address;
+  return true;
+}
+
+bool
+read_optional_address(const value_map& values, const std::string& flag, std::optional<endpoint>& result, error& why)
+{
+  if (values.count(flag) == 0) {
+    return true;
+  }
+  endpoint address;
+  if (!read_address(values, flag, address, why)) {
+    return false;
+  }
+  result = address;
+  return true;
+}
+
+bool
+read_seeds(const value_map& values, std::vector<endpoint>& result, error& why)
+{
+  const auto found = values.find("seeds");
+  if (found == values.end() || found->second.empty()) {
+    return true;
+  }
+  std::size_t start = 0;
+  while (start <= found->second.size()) {
+    const std::size_t end = std::min(found->second.find(',', start), found->second.size());
+    const auto address = parse_endpoint(std::string_view(found->second).substr(start, end - start));
+    if (!address || result.size() == most_seeds) {
+      why = wrong_value("seeds", found->second, "give up to 16 addresses such as 10.0.0.7:4000, separated by commas");
+      return false;
+    }
+    result.push_back(*address);
+    start = end + 1;
+  }
+  return true;
+}
+
+bool
+read_level(const value_map& values, log_level& result, error& why)
+{
+  const auto found = values.find("log-level");
+  if (found == values.end()) {
+    return true;
+  }
+  const auto level = parse_log_level(found->second);
+  if (!level) {
+    why = wrong_value("log-level", found->second, "give debug, info, warning or error");
+    return false;
+  }
+  result = *level;
+  return true;
+}
+
+bool
+read_whole_number(const value_map& values,
+                  const std::string& flag,
+                  const std::string& unit,
+                  std::uint64_t lowest,
+                  std::uint64_t highest,
+                  std::uint64_t& result,
+                  error& why)
+{
+  const auto found = values.find(flag);
+  if (found == values.end()) {
+    return true;
+  }
+  const std::string& text = found->second;
+  std::uint64_t value = 0;
+  const auto [end, status] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (status != std::errc() || end != text.data() + text.size() || value < lowest || value > highest) {
+    why = wrong_value(flag,
+                      text,
+                      "give a whole number of " + unit + " from " + std::to_string(lowest) + " to " +
+                        std::to_string(highest));
+    return false;
+  }
+  result = value;
+  return true;
+}
+
+}
