steering: a new flow avoids targets that owe an answer

A target whose first packet has not been answered for 30 ms comes after the others, and a caller that waits for a target on one flow gets another one for its next flow. Ruled out: the time until the records change (2 to 3 s; the retries are over by then).

--- a/include/coltsfootlock/coordination/steering/flow_notes.h
+++ b/include/coltsfootlock/coordination/steering/flow_notes.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <functional>
 #include <unordered_map>
+#include <vector>
 
 namespace coltsfootlock {
 
@@ -21,6 +22,7 @@
   std::uint32_t acknowledged = 0; ///< Highest position of the target's stream that the caller acknowledged.
   std::uint32_t sent_up_to = 0;   ///< Highest position of the caller's stream that passed here.
   bool answered = false;          ///< The caller reacted to an answer of the target.
+  bool awaits_answer = false;     ///< The caller has sent data and has acknowledged nothing new since.
   bool closing = false;
 };
 
@@ -43,7 +45,12 @@
   /// Adds a note; null if the table is full.
   flow_note* add(const flow_key& key, const vm_id& target, instant now);
 
-  void erase(const flow_key& key) { notes_.erase(key); }
+  void erase(const flow_key& key);
+
+  /// Visits the notes of the flows from one address of callers to one service.
+  void for_each_of_caller(std::uint32_t caller_address,
+                          const endpoint& service,
+                          const std::function<void(const flow_note&)>& visit) const;
 
   /// Erases the notes for which `wanted` returns true.
   void erase_if(const std::function<bool(const flow_key&, const flow_note&)>& wanted);
@@ -51,8 +58,11 @@
   std::size_t size() const { return notes_.size(); }
 
 private:
+  void unlist(const flow_key& key);
+
   std::size_t most_;
   std::unordered_map<flow_key, flow_note, flow_key_hash> notes_;
+  std::unordered_map<std::uint32_t, std::vector<flow_key>> by_caller_; ///< By the caller's address.
 };
 
 }
--- a/include/coltsfootlock/coordination/steering/steering_decision.h
+++ b/include/coltsfootlock/coordination/steering/steering_decision.h
@@ -19,7 +19,7 @@
   moved     ///< Copy of a first packet, sent elsewhere because the first target was silent.
 };
 
-enum class reset_reason : std::uint8_t
+enum class flow_end_reason : std::uint8_t
 {
   no_service,       ///< The catalogue has no service at this address.
   no_target,        ///< The service has no target that may take new flows.
@@ -36,13 +36,13 @@
 };
 
 inline constexpr std::size_t forward_reason_count = 4;
-inline constexpr std::size_t reset_reason_count = 4;
+inline constexpr std::size_t flow_end_reason_count = 4;
 inline constexpr std::size_t drop_reason_count = 4;
 
 const char*
 to_string(forward_reason value);
 const char*
-to_string(reset_reason value);
+to_string(flow_end_reason value);
 const char*
 to_string(drop_reason value);
 
@@ -63,7 +63,7 @@
 /// Tell the caller that its flow is over.
 struct reset_flow
 {
-  reset_reason reason = reset_reason::no_service;
+  flow_end_reason reason = flow_end_reason::no_service;
   flow_key flow;
   std::uint32_t sequence = 0; ///< Where the caller expects the target's stream to go on.
   vm_id target;               ///< Empty if the flow had none.
--- a/include/coltsfootlock/coordination/steering/steering_engine.h
+++ b/include/coltsfootlock/coordination/steering/steering_engine.h
@@ -19,7 +19,7 @@
 struct steering_counters
 {
   std::array<std::uint64_t, forward_reason_count> forwarded{};
-  std::array<std::uint64_t, reset_reason_count> resets{};
+  std::array<std::uint64_t, flow_end_reason_count> resets{};
   std::array<std::uint64_t, drop_reason_count> dropped{};
   std::uint64_t suspicions = 0;
 
@@ -79,13 +79,14 @@
   void note_packet(const carried_packet& packet, known_target& target, instant now);
   void suspect(known_target& target, const char* evidence, instant now);
   bool is_quiet(const known_target& target, instant now) const;
+  void answered(flow_note& note, known_target& target, instant now);
   void forget(const flow_note& note);
   void reset_flows_of_lost_targets(instant now, std::vector<reset_flow>& resets);
   void forget_idle_flows(instant now);
   void report(const char* part, std::string message);
   void report_target(const known_target& target, const char* event, instant now);
   steering_decision forward(forward_reason reason, const known_target& target);
-  steering_decision reset(reset_reason reason, const carried_packet& packet, const vm_id& target);
+  steering_decision reset(flow_end_reason reason, const carried_packet& packet, const vm_id& target);
   steering_decision drop(drop_reason reason);
 
   steering_settings settings_;
@@ -102,6 +103,7 @@
   std::vector<belief_change> beliefs_;
   std::vector<placement_candidate> candidates_; ///< Kept to avoid an allocation per flow.
   std::vector<vm_id> restarted_;
+  std::vector<vm_id> waited_for_; ///< Kept like the candidates.
 };
 
 }
--- a/include/coltsfootlock/coordination/steering/steering_timing.h
+++ b/include/coltsfootlock/coordination/steering/steering_timing.h
@@ -8,6 +8,13 @@
 /// sign that the target is silent. Callers send the first copy after 200 ms.
 inline constexpr milliseconds shortest_copy_gap{ 120 };
 
+/// A live target answers a first packet, and the caller reacts, within two round trips to the caller and one to the
+/// target (20 ms over domains); the rest is for a daemon with a small part of a core.
+inline constexpr milliseconds usual_answer_time{ 30 };
+
+/// A first packet that is not answered within a caller's attempt (1.4 s) is no longer waited for.
+inline constexpr milliseconds open_attempt{ 1500 };
+
 /// A target without progress for this long while callers repeat packets to it gets no new flows. Longer than one
 /// retransmission timeout of a caller (200 ms) and the round trip.
 inline constexpr milliseconds silence_before_suspicion{ 350 };
--- a/libraries/coordination/steering/steering_decision.cpp
+++ b/libraries/coordination/steering/steering_decision.cpp
@@ -19,16 +19,16 @@
 }
 
 const char*
-to_string(reset_reason value)
+to_string(flow_end_reason value)
 {
   switch (value) {
-    case reset_reason::no_service:
+    case flow_end_reason::no_service:
       return "no_service";
-    case reset_reason::no_target:
+    case flow_end_reason::no_target:
       return "no_target";
-    case reset_reason::target_gone:
+    case flow_end_reason::target_gone:
       return "target_gone";
-    case reset_reason::target_restarted:
+    case flow_end_reason::target_restarted:
       return "target_restarted";
   }
   return "unknown";
--- a/libraries/coordination/steering/steering_engine.cpp
+++ b/libraries/coordination/steering/steering_engine.cpp
@@ -151,7 +151,7 @@
 }
 
 steering_decision
-steering_engine::reset(reset_reason reason, const carried_packet& packet, const vm_id& target)
+steering_engine::reset(flow_end_reason reason, const carried_packet& packet, const vm_id& target)
 {
   ++counters_.resets[static_cast<std::size_t>(reason)];
   return reset_flow{ reason, packet.flow, packet.opens ? 0 : packet.acknowledged, target };
@@ -254,9 +254,15 @@
   const service* wanted = services_.find(packet.flow.service);
   if (wanted == nullptr) {
     const bool fresh = confirmed_at_ && now - *confirmed_at_ < settings_.refusal_freshness;
-    return fresh ? reset(reset_reason::no_service, packet, {}) : drop(drop_reason::stale_records);
+    return fresh ? reset(flow_end_reason::no_service, packet, {}) : drop(drop_reason::stale_records);
   }
   const auto& targets = targets_.of_group(services_.group_for(*wanted, packet.flow));
+  waited_for_.clear();
+  flows_.for_each_of_caller(packet.flow.caller.address, packet.flow.service, [this](const flow_note& note) {
+    if (!note.closing && (!note.answered || note.awaits_answer)) {
+      waited_for_.push_back(note.target);
+    }
+  });
   candidates_.clear();
   for (std::size_t index = 0; index < targets.size(); ++index) {
     known_target& target = *targets[index];
@@ -268,19 +274,24 @@
     candidates_.push_back({ index,
                             target.record.vm.domain == settings_.domain,
                             was_silent ? target_condition::doubtful : *condition,
+                            target.pending_opens > 0 && now - target.pending_since > steering_timing::usual_answer_time,
+                            std::find(waited_for_.begin(), waited_for_.end(), target.record.vm.id) != waited_for_.end(),
                             target.open_flows,
                             target.record.slots,
                             self_hash_ ^ (target.record.tag * 0x9e3779b97f4a7c15ULL) });
   }
   const auto chosen = place_flow(candidates_);
   if (!chosen) {
-    return reset(reset_reason::no_target, packet, {});
+    return reset(flow_end_reason::no_target, packet, {});
   }
   known_target& target = *targets[*chosen];
   steering_decision decision = forward(forward_reason::placed, target);
   std::get<forward_packet>(decision).candidates = candidates_.size();
   if (flow_note* note = flows_.add(packet.flow, target.record.vm.id, now)) {
     ++target.open_flows;
+    if (target.pending_opens++ == 0) {
+      target.pending_since = now;
+    }
     note->sent_up_to = packet.sequence;
   }
   return decision;
@@ -322,7 +333,7 @@
       forget(*note);
       flows_.erase(packet.flow);
     }
-    return reset(reset_reason::target_gone, packet, target->record.vm.id);
+    return reset(flow_end_reason::target_gone, packet, target->record.vm.id);
   }
   note_packet(packet, *target, now);
   return forward(forward_reason::named, *target);
@@ -362,32 +373,51 @@
   const bool repeats = !progress && packet.payload_bytes > 0 && !is_after(end, note->sent_up_to);
   note->last_packet = now;
   if (progress) {
-    note->answered = true;
     note->acknowledged = packet.acknowledged;
-    note->last_progress = now;
-    target.last_progress = now;
-    target.suspected_until = instant{};
+    answered(*note, target, now);
   }
   if (is_after(end, note->sent_up_to)) {
     note->sent_up_to = end;
+    note->awaits_answer = true;
   }
   if (repeats && now - std::max(target.last_progress, evidence_from_) > steering_timing::silence_before_suspicion) {
     suspect(target, "suspected evidence=unanswered_data", now);
   }
   if (packet.closes && !note->closing) {
-    note->closing = true;
     forget(*note);
+    note->closing = true;
   }
 }
 
+/// The target is alive: it answered on this flow.
+void
+steering_engine::answered(flow_note& note, known_target& target, instant now)
+{
+  if (!note.answered && target.pending_opens > 0) {
+    --target.pending_opens;
+  }
+  note.answered = true;
+  note.awaits_answer = false;
+  note.last_progress = now;
+  target.last_progress = now;
+  target.pending_since = now;
+  target.suspected_until = instant{};
+}
+
 /// The flow no longer counts for its target.
 void
 steering_engine::forget(const flow_note& note)
 {
   known_target* target = targets_.find(note.target);
-  if (target != nullptr && target->open_flows > 0) {
+  if (target == nullptr || note.closing) {
+    return;
+  }
+  if (target->open_flows > 0) {
     --target->open_flows;
   }
+  if (!note.answered && target->pending_opens > 0) {
+    --target->pending_opens;
+  }
 }
 
 /// Load pattern: a target dies while callers wait for its answers. They send nothing, so no packet asks; they are told
@@ -407,11 +437,11 @@
     if (!gone && !started_anew) {
       return false;
     }
-    const reset_reason reason = gone ? reset_reason::target_gone : reset_reason::target_restarted;
+    const flow_end_reason reason = gone ? flow_end_reason::target_gone : flow_end_reason::target_restarted;
+    forget(note);
     if (!note.closing) {
       ++counters_.resets[static_cast<std::size_t>(reason)];
       resets.push_back({ reason, key, note.acknowledged, note.target });
-      forget(note);
     }
     return true;
   });
@@ -447,11 +477,18 @@
   const milliseconds idle =
     services != nullptr && services->flow_idle_ms > 0 ? milliseconds(services->flow_idle_ms) : settings_.flow_idle;
   flows_.erase_if([&](const flow_key&, const flow_note& note) {
-    const bool over = now - note.last_packet > (note.closing ? steering_timing::closing : idle);
-    if (over && !note.closing) {
-      forget(note);
+    const milliseconds limit = note.closing     ? steering_timing::closing
+                               : !note.answered ? steering_timing::open_attempt
+                                                : idle;
+    if (now - note.last_packet <= limit) {
+      return false;
     }
-    return over;
+    forget(note);
+    known_target* target = targets_.find(note.target);
+    if (!note.answered && target != nullptr && target->last_progress < note.opened) {
+      suspect(*target, "suspected evidence=unanswered_open", now);
+    }
+    return true;
   });
 }
 
--- a/programs/coltsfootlockd/carried/carried_metrics.cpp
+++ b/programs/coltsfootlockd/carried/carried_metrics.cpp
@@ -26,7 +26,7 @@
   metrics.begin_counter("packets_forwarded_total", "Packets sent to targets, by reason.");
   add_by_reason<forward_reason>(metrics, counters.forwarded);
   metrics.begin_counter("flows_reset_total", "Resets sent to callers, by reason.");
-  add_by_reason<reset_reason>(metrics, counters.resets);
+  add_by_reason<flow_end_reason>(metrics, counters.resets);
   metrics.begin_counter("packets_discarded_total", "Packets of callers that were not forwarded, by reason.");
   add_by_reason<drop_reason>(metrics, counters.dropped);
   metrics.counter("target_suspicions_total",
