--- a/programs/coltsfootlockd/carried/carried_metrics.cpp
+++ b/programs/coltsfootlockd/carried/carried_metrics.cpp
@@ -1,11 +1,10 @@
 #include "carried/carried_metrics.h"
 
 #include "metric_builder.h"
+#include "metrics_text.h"
 
 #include "coltsfootlock/transport/log.h"
 
-#include <prometheus/text_serializer.h>
-
 namespace coltsfootlock {
 
 namespace {
@@ -59,9 +58,9 @@
 }
 
 prometheus::MetricFamily
-histogram_family(const std::string& name, const std::string& help, const prometheus::Histogram& histogram)
+histogram_family(const std::string& name, const std::string& help, const time_histogram& histogram)
 {
-  return { "coltsfootlock_" + name, help, prometheus::MetricType::Histogram, { histogram.Collect() } };
+  return { "coltsfootlock_" + name, help, prometheus::MetricType::Histogram, { histogram.collect() } };
 }
 
 }
@@ -87,7 +86,7 @@
   auto families = metrics.take();
   families.push_back(
     histogram_family("store_list_seconds", "Time of a list call to the platform's store.", records.list_seconds()));
-  return prometheus::TextSerializer().Serialize(families);
+  return metrics_text(families);
 }
 
 }
--- a/programs/coltsfootlockd/carried/record_path.cpp
+++ b/programs/coltsfootlockd/carried/record_path.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 /// From a store that is near to one that is hundreds of times slower.
-const prometheus::Histogram::BucketBoundaries call_seconds = { 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5 };
+const std::vector<double> call_seconds = { 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5 };
 
 }
 
@@ -89,7 +89,7 @@
 record_path::on_answer(record_answer answer, instant now)
 {
   if (std::holds_alternative<record_page>(answer)) {
-    list_seconds_.Observe(std::chrono::duration<double>(now - call_started_).count());
+    list_seconds_.observe(now - call_started_);
   }
   std::string problem;
   if (const auto* failed = std::get_if<call_failed>(&answer)) {
--- a/programs/coltsfootlockd/carried/record_path.h
+++ b/programs/coltsfootlockd/carried/record_path.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "carried/time_histogram.h"
+
 #include "coltsfootlock/coordination/steering/record_follower.h"
 #include "coltsfootlock/coordination/steering/steering_engine.h"
 #include "coltsfootlock/transport/http_exchange.h"
@@ -8,7 +10,6 @@
 #include <vector>
 
 #include <poll.h>
-#include <prometheus/histogram.h>
 
 namespace coltsfootlock {
 
@@ -43,7 +44,7 @@
   std::uint64_t revision() const { return follower_.revision(); }
   bool in_touch() const { return follower_.in_touch(); }
   const record_counters& counters() const { return counters_; }
-  const prometheus::Histogram& list_seconds() const { return list_seconds_; }
+  const time_histogram& list_seconds() const { return list_seconds_; }
 
 private:
   void start_call(instant now);
@@ -57,7 +58,7 @@
   instant call_started_;
   instant call_deadline_;
   record_counters counters_;
-  prometheus::Histogram list_seconds_;
+  time_histogram list_seconds_;
 };
 
 }
--- /dev/null
+++ b/programs/coltsfootlockd/carried/time_histogram.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "coltsfootlock/state/time.h"
+
+#include <prometheus/client_metric.h>
+
+#include <cstdint>
+#include <vector>
+
+namespace coltsfootlock {
+
+/// Counts times in buckets. Not prometheus::Histogram, whose shared library makes each start of a daemon longer.
+class time_histogram
+{
+public:
+  /// `bounds`: upper bounds of the buckets in seconds, ascending.
+  explicit time_histogram(std::vector<double> bounds);
+
+  void observe(duration time);
+
+  prometheus::ClientMetric collect() const;
+
+private:
+  std::vector<double> bounds_;
+  std::vector<std::uint64_t> counts_; ///< One more than bounds: the last one counts the longest times.
+  double sum_ = 0;
+};
+
+}
