--- /dev/null
+++ b/libraries/coordination/steering/tests/test_record_follower.cpp
@@ -0,0 +1,111 @@
+#include "coltsfootlock/coordination/steering/record_follower.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace coltsfootlock;
+
+namespace {
+
+struct follower_fixture
+{
+  follower_settings settings;
+  record_follower follower{ settings, 1 };
+  instant now = instant(seconds(1));
+
+  record_call call()
+  {
+    const auto planned = follower.next_call(now);
+    BOOST_REQUIRE(planned.has_value());
+    return planned->call;
+  }
+
+  void list(std::uint64_t revision)
+  {
+    call();
+    follower.on_answer(record_page{ {}, revision, "", false }, now);
+  }
+};
+
+const call_failed failure{ { error_kind::unavailable, "no answer" } };
+
+}
+
+BOOST_FIXTURE_TEST_SUITE(record_following, follower_fixture)
+
+// Pages are no snapshot: changes since the first page have to be watched for.
+BOOST_AUTO_TEST_CASE(the_watch_continues_from_the_first_page_of_the_list)
+{
+  BOOST_TEST((std::get<list_call>(call()) == list_call{ "" }));
+  auto progress = follower.on_answer(record_page{ {}, 50, "k", true }, now);
+  BOOST_TEST(progress.snapshot_begins);
+  BOOST_TEST(!progress.snapshot_complete.has_value());
+  BOOST_TEST(!follower.confirmed_at().has_value());
+  BOOST_TEST((std::get<list_call>(call()) == list_call{ "k" }));
+  progress = follower.on_answer(record_page{ {}, 60, "z", false }, now);
+  BOOST_TEST(!progress.snapshot_begins);
+  BOOST_TEST(progress.snapshot_complete.value() == 50U);
+  BOOST_TEST(std::get<watch_call>(call()).after == 50U);
+}
+
+BOOST_AUTO_TEST_CASE(a_forgotten_history_is_replaced_by_a_list)
+{
+  list(50);
+  call();
+  follower.on_answer(history_forgotten{}, now);
+  BOOST_TEST(std::holds_alternative<list_call>(call()));
+  BOOST_TEST((follower.settles_at() > now));
+}
+
+// An answer can be lost on a connection that stays silent: the next call follows at once, on a new connection.
+BOOST_AUTO_TEST_CASE(the_first_failure_is_retried_at_once_and_later_ones_after_growing_pauses)
+{
+  list(50);
+  duration pauses{};
+  for (int failures = 1; failures <= 6; ++failures) {
+    now = std::max(now, follower.wakes_at());
+    call();
+    const auto progress = follower.on_answer(failure, now);
+    BOOST_TEST(progress.lost == (failures == 1));
+    const duration pause = follower.wakes_at() - now;
+    BOOST_TEST((failures > 1 || pause <= duration::zero()));
+    BOOST_TEST((pause <= settings.longest_retry));
+    pauses += std::max(pause, duration::zero());
+  }
+  BOOST_TEST((pauses > settings.longest_retry));
+  BOOST_TEST(!follower.in_touch());
+}
+
+BOOST_AUTO_TEST_CASE(records_settle_only_some_time_after_an_outage)
+{
+  list(50);
+  call();
+  follower.on_answer(record_events{ {}, 50 }, now);
+  BOOST_TEST((follower.settles_at() <= now));
+  now = std::max(now, follower.wakes_at());
+  call();
+  follower.on_answer(failure, now);
+  now = std::max(now, follower.wakes_at());
+  call();
+  const auto progress = follower.on_answer(record_events{ {}, 51 }, now);
+  BOOST_TEST(progress.regained);
+  BOOST_TEST((follower.settles_at() == now + settings.settle));
+}
+
+// Load pattern: changes in quick succession while many daemons watch. They gather instead of costing a call each.
+BOOST_AUTO_TEST_CASE(many_changes_cost_a_bounded_number_of_calls)
+{
+  list(1);
+  int calls = 0;
+  std::uint64_t revision = 1;
+  const instant end = now + seconds(20);
+  while (now < end) {
+    now = std::max(now, follower.wakes_at());
+    call();
+    ++calls;
+    now += milliseconds(5);
+    follower.on_answer(record_events{ {}, ++revision }, now);
+  }
+  BOOST_TEST(calls <= 20 * settings.calls_per_second + settings.call_burst);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/libraries/coordination/steering/tests/test_steering_engine.cpp
@@ -0,0 +1,361 @@
+#include "steering_fixture.h"
+
+#include <map>
+#include <set>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace coltsfootlock;
+using coltsfootlock::testing::steering_fixture;
+
+namespace {
+
+template<typename Alternative>
+bool
+is(const steering_decision& decision)
+{
+  return std::holds_alternative<Alternative>(decision);
+}
+
+flow_end_reason
+reset_reason_of(const steering_decision& decision)
+{
+  return std::get<reset_flow>(decision).reason;
+}
+
+drop_reason
+drop_reason_of(const steering_decision& decision)
+{
+  return std::get<drop_packet>(decision).reason;
+}
+
+}
+
+BOOST_FIXTURE_TEST_SUITE(steering, steering_fixture)
+
+// Guards against a second daemon that cannot forward the packets of a flow that it has not seen open.
+BOOST_AUTO_TEST_CASE(a_packet_goes_where_its_token_says)
+{
+  publish(make_target(7, "a"));
+  publish(make_target(8, "b"));
+  BOOST_TEST(tag_of(send(flow_of(1), token_of_tag(8), 50)) == 8U);
+  BOOST_TEST(tag_of(send(flow_of(2), token_of_tag(7), 50)) == 7U);
+}
+
+// Guards against packets that reach a target by a guess, and against resets on thin evidence.
+BOOST_AUTO_TEST_CASE(an_unknown_token_is_neither_guessed_nor_reset)
+{
+  publish(make_target(7, "a"));
+  BOOST_TEST((drop_reason_of(send(flow_of(1), 99, 50)) == drop_reason::unknown_target));
+  BOOST_TEST((drop_reason_of(send(flow_of(1), 0, 50)) == drop_reason::unknown_target));
+}
+
+// Tags beyond 32 bits share a hash: the flow's own daemon still knows the target, another one must not guess.
+BOOST_AUTO_TEST_CASE(two_targets_with_one_token_are_told_apart_or_not_used)
+{
+  std::map<target_token, std::uint64_t> seen;
+  std::uint64_t first = 0;
+  std::uint64_t second = 0;
+  for (std::uint64_t tag = 1ULL << 40U; second == 0; ++tag) {
+    const auto [position, is_new] = seen.emplace(token_of_tag(tag), tag);
+    if (!is_new) {
+      first = position->second;
+      second = tag;
+    }
+  }
+  target_record other = make_target(second, "a");
+  other.vm.packet_address = { 0x0a000001, 8001 };
+  publish(make_target(first, "a"));
+  publish(other);
+  const std::uint64_t chosen = establish(flow_of(1));
+  BOOST_TEST(tag_of(send(flow_of(1), token_of_tag(first), 2)) == chosen);
+  BOOST_TEST((drop_reason_of(send(flow_of(2), token_of_tag(first), 2)) == drop_reason::ambiguous_target));
+}
+
+BOOST_AUTO_TEST_CASE(an_address_without_a_service_is_reset_only_on_fresh_records)
+{
+  publish(make_target(7, "a"));
+  const flow_key flow{ { 1, 1 }, unknown };
+  BOOST_TEST((reset_reason_of(open(flow)) == flow_end_reason::no_service));
+  pass(milliseconds(3000)); // The records may be out of date by now.
+  BOOST_TEST((drop_reason_of(open(flow)) == drop_reason::stale_records));
+}
+
+BOOST_AUTO_TEST_CASE(nothing_is_decided_before_the_records_are_known)
+{
+  steering_engine started(make_settings());
+  carried_packet packet;
+  packet.flow = flow_of(1);
+  packet.opens = true;
+  BOOST_TEST((drop_reason_of(started.on_packet(packet, now)) == drop_reason::not_ready));
+}
+
+BOOST_AUTO_TEST_CASE(a_service_without_targets_rejects_at_once)
+{
+  BOOST_TEST((reset_reason_of(open(flow_of(1))) == flow_end_reason::no_target));
+}
+
+// Guards against needless traffic between domains, and against flows without a target when the own domain has none.
+BOOST_AUTO_TEST_CASE(the_own_domain_comes_first)
+{
+  publish(make_target(1, "b"));
+  BOOST_TEST(tag_of(open(flow_of(1))) == 1U);
+  publish(make_target(2, "a"));
+  for (std::uint16_t port = 2; port < 20; ++port) {
+    BOOST_TEST(tag_of(open(flow_of(port))) == 2U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(flows_spread_evenly_over_targets)
+{
+  for (std::uint64_t tag = 1; tag <= 5; ++tag) {
+    publish(make_target(tag, "a"));
+  }
+  std::map<std::uint64_t, int> flows;
+  for (std::uint16_t port = 1; port <= 50; ++port) {
+    ++flows[establish(flow_of(port, 0x64400000U + port))];
+  }
+  for (const auto& [tag, count] : flows) {
+    BOOST_TEST(count == 10, tag);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(leaving_targets_and_domains_out_of_service_get_no_new_flows)
+{
+  publish(make_target(1, "a"));
+  publish(make_target(2, "b"));
+  const std::uint64_t first = establish(flow_of(1));
+  BOOST_TEST(first == 1U);
+  target_record leaving = make_target(1, "a");
+  leaving.vm.leaving = true;
+  publish(leaving);
+  BOOST_TEST(tag_of(open(flow_of(2))) == 2U);
+  BOOST_TEST(tag_of(send(flow_of(1), token_of_tag(1), 2)) == 1U); // The open flow stays.
+  engine.on_record({ ++revision, domain_switched{ "b", false } }, settles_at, now);
+  BOOST_TEST((reset_reason_of(open(flow_of(3))) == flow_end_reason::no_target));
+  engine.on_record({ ++revision, domain_switched{ "b", true } }, settles_at, now);
+  BOOST_TEST(tag_of(open(flow_of(4))) == 2U);
+}
+
+// Another writer's entry names no target; the flows of the target that had the record stay.
+BOOST_AUTO_TEST_CASE(an_unreadable_record_takes_no_flows_and_ends_none)
+{
+  publish(make_target(1, "a"));
+  establish(flow_of(1));
+  engine.on_record({ ++revision, target_unreadable{ "t-1", {} } }, settles_at, now);
+  BOOST_TEST((reset_reason_of(open(flow_of(2))) == flow_end_reason::no_target));
+  BOOST_TEST(pass(milliseconds(5000)).empty());
+  BOOST_TEST(tag_of(send(flow_of(1), token_of_tag(1), 2)) == 1U);
+}
+
+// A copy of a first packet must not open the flow at a second target while the first one is alive.
+BOOST_AUTO_TEST_CASE(an_early_copy_goes_to_the_same_target)
+{
+  for (std::uint64_t tag = 1; tag <= 5; ++tag) {
+    publish(make_target(tag, "a"));
+  }
+  const std::uint64_t first = tag_of(open(flow_of(1)));
+  now += milliseconds(20); // This daemon was late: both copies waited in its socket.
+  BOOST_TEST(tag_of(open(flow_of(1), 1)) == first);
+}
+
+// Load pattern: a target falls silent. The copy after 200 ms goes elsewhere, and so do the next flows.
+BOOST_AUTO_TEST_CASE(a_copy_of_an_unanswered_open_goes_to_another_target)
+{
+  publish(make_target(1, "a"));
+  publish(make_target(2, "a"));
+  const std::uint64_t first = tag_of(open(flow_of(1)));
+  pass(milliseconds(200));
+  const steering_decision copy = open(flow_of(1), 1);
+  BOOST_TEST(tag_of(copy) == 3 - first);
+  BOOST_TEST((std::get<forward_packet>(copy).reason == forward_reason::moved));
+  for (std::uint16_t port = 2; port < 6; ++port) {
+    BOOST_TEST(establish(flow_of(port, port)) == 3 - first);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_suspected_target_that_answers_gets_flows_again)
+{
+  publish(make_target(1, "a"));
+  publish(make_target(2, "a"));
+  const std::uint64_t other = establish(flow_of(10, 10));
+  const std::uint64_t silent = tag_of(open(flow_of(1)));
+  BOOST_TEST(silent == 3 - other);
+  pass(milliseconds(200));
+  open(flow_of(1), 1);
+  // A flow of the suspected target goes on: it is alive.
+  send(flow_of(11, 11), token_of_tag(silent), 5);
+  send(flow_of(11, 11), token_of_tag(silent), 9);
+  std::set<std::uint64_t> used;
+  for (std::uint16_t port = 20; port < 24; ++port) {
+    used.insert(establish(flow_of(port, port)));
+  }
+  BOOST_TEST(used.size() == 2U);
+}
+
+// Load pattern: several targets crash at once. Their callers are told by the targets' VMs and retry within
+// milliseconds, with three attempts each, while the records still name the crashed targets.
+BOOST_AUTO_TEST_CASE(retries_after_a_crash_find_live_targets_within_their_attempts)
+{
+  const std::set<std::uint64_t> crashed = { 2, 4 };
+  for (std::uint64_t tag = 1; tag <= 5; ++tag) {
+    publish(make_target(tag, "a"));
+  }
+  constexpr std::uint16_t callers = 40;
+  std::map<std::uint16_t, std::uint64_t> target_of;
+  for (std::uint16_t caller = 1; caller <= callers; ++caller) {
+    target_of[caller] = establish(flow_of(caller, caller));
+    send(flow_of(caller, caller), token_of_tag(target_of[caller]), 1, 101, 200);
+  }
+  pass(milliseconds(20));
+  int unserved = 0;
+  for (std::uint16_t caller = 1; caller <= callers; ++caller) {
+    if (!crashed.contains(target_of[caller])) {
+      continue;
+    }
+    now += milliseconds(2);
+    bool served = false;
+    for (std::uint16_t attempt = 1; attempt <= 2 && !served; ++attempt) {
+      const flow_key retry = flow_of(static_cast<std::uint16_t>(1000 * attempt + caller), caller);
+      const steering_decision decision = open(retry);
+      served = !crashed.contains(tag_of(decision));
+      if (served) {
+        send(retry, token_of_tag(tag_of(decision)), 1);
+      }
+      now += milliseconds(7); // The time in which a crashed target's VM rejects an attempt.
+    }
+    unserved += served ? 0 : 1;
+  }
+  BOOST_TEST(unserved == 0);
+}
+
+// Load pattern: a target dies silently while callers wait. They are told when its record goes.
+BOOST_AUTO_TEST_CASE(flows_of_a_target_that_is_gone_are_reset)
+{
+  publish(make_target(1, "a"));
+  establish(flow_of(1));
+  send(flow_of(1), token_of_tag(1), 40);
+  pass(milliseconds(2310));
+  remove(1);
+  const auto resets = pass(milliseconds(300));
+  BOOST_TEST_REQUIRE(resets.size() == 1U);
+  BOOST_TEST((resets[0].flow == flow_of(1)));
+  BOOST_TEST(resets[0].sequence == 40U);
+  BOOST_TEST((resets[0].reason == flow_end_reason::target_gone));
+  BOOST_TEST((reset_reason_of(send(flow_of(1), token_of_tag(1), 40, 101, 10)) == flow_end_reason::target_gone));
+}
+
+// A target that the platform cannot hear may be alive: its flows go on as long as its packets show it.
+BOOST_AUTO_TEST_CASE(a_target_without_a_record_that_still_answers_keeps_its_flows)
+{
+  publish(make_target(1, "a"));
+  establish(flow_of(1));
+  remove(1);
+  for (std::uint32_t position = 2; position < 12; ++position) {
+    BOOST_TEST(pass(milliseconds(500)).empty());
+    BOOST_TEST(tag_of(send(flow_of(1), token_of_tag(1), position)) == 1U);
+  }
+  BOOST_TEST((reset_reason_of(open(flow_of(2))) == flow_end_reason::no_target));
+}
+
+// Entries that expired while the store was away prove nothing until the targets had time to return.
+BOOST_AUTO_TEST_CASE(a_record_that_lapsed_with_the_store_ends_no_flow_before_it_had_time_to_return)
+{
+  publish(make_target(1, "a"));
+  establish(flow_of(1));
+  pass(milliseconds(6000));
+  settles_at = now + milliseconds(2500);
+  remove(1);
+  BOOST_TEST(pass(milliseconds(2000)).empty());
+  BOOST_TEST(tag_of(open(flow_of(2))) == 1U);
+  publish(make_target(1, "a"));
+  BOOST_TEST(pass(milliseconds(4000)).empty());
+  settles_at = now + milliseconds(2500);
+  remove(1);
+  BOOST_TEST(!pass(milliseconds(2700)).empty());
+}
+
+// A daemon that stood still has not seen the targets' answers, so their silence proves nothing.
+BOOST_AUTO_TEST_CASE(a_daemon_that_was_frozen_does_not_judge_by_what_it_missed)
+{
+  publish(make_target(1, "a"));
+  establish(flow_of(1));
+  now += milliseconds(8000);
+  remove(1);
+  BOOST_TEST(engine.tick(now).empty());
+  BOOST_TEST(tag_of(send(flow_of(1), token_of_tag(1), 2)) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_new_incarnation_ends_the_flows_of_the_previous_one_only)
+{
+  publish(make_target(1, "a"));
+  establish(flow_of(1));
+  pass(milliseconds(2000));
+  target_record restarted = make_target(1, "a");
+  restarted.vm.incarnation = 2;
+  establish(flow_of(2, 2)); // Reached the new incarnation just before its record did.
+  publish(restarted);
+  const auto resets = pass(milliseconds(300));
+  BOOST_TEST_REQUIRE(resets.size() == 1U);
+  BOOST_TEST((resets[0].flow == flow_of(1)));
+  BOOST_TEST((resets[0].reason == flow_end_reason::target_restarted));
+}
+
+BOOST_AUTO_TEST_CASE(records_never_go_back)
+{
+  target_record leaving = make_target(1, "a");
+  leaving.vm.leaving = true;
+  publish(leaving);
+  engine.on_record({ revision - 1, target_published{ make_target(1, "a") } }, settles_at, now);
+  BOOST_TEST((reset_reason_of(open(flow_of(1))) == flow_end_reason::no_target));
+  publish_catalogue(5, { make_service(feed, "feed") });
+  publish_catalogue(4, {});
+  BOOST_TEST(engine.current_catalogue()->version == 5U);
+}
+
+// Copies of a first packet that reach different daemons must agree on the group.
+BOOST_AUTO_TEST_CASE(a_split_divides_flows_by_weight_and_keeps_copies_together)
+{
+  service split = make_service(feed, "feed");
+  split.split = { { "feed", 90 }, { "cards", 10 } };
+  publish_catalogue(2, { split });
+  publish(make_target(1, "a", "feed"));
+  publish(make_target(2, "a", "cards"));
+  int cards = 0;
+  for (std::uint16_t port = 1; port <= 2000; ++port) {
+    const std::uint64_t tag = tag_of(open(flow_of(port)));
+    cards += tag == 2 ? 1 : 0;
+    now += milliseconds(1);
+    BOOST_TEST(tag_of(open(flow_of(port), 1)) == tag);
+  }
+  BOOST_TEST(cards > 140);
+  BOOST_TEST(cards < 260);
+}
+
+BOOST_AUTO_TEST_CASE(cold_targets_come_after_warm_ones_of_other_domains)
+{
+  target_record cold = make_target(1, "a");
+  cold.warm_up_left = milliseconds(2000);
+  publish(cold);
+  publish(make_target(2, "b"));
+  BOOST_TEST(tag_of(open(flow_of(1))) == 2U);
+  pass(milliseconds(2100));
+  BOOST_TEST(tag_of(open(flow_of(2, 2))) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(the_memory_for_flows_is_bounded_and_packets_go_on_without_it)
+{
+  steering_settings small = make_settings();
+  small.most_flows = 10;
+  steering_engine bounded(small);
+  flow_notes notes(10);
+  for (std::uint16_t port = 1; port <= 20; ++port) {
+    notes.add(flow_of(port), "t-1", now);
+  }
+  BOOST_TEST(notes.size() == 10U);
+  notes.erase(flow_of(3));
+  BOOST_TEST(notes.find(flow_of(3)) == nullptr);
+  BOOST_TEST(notes.add(flow_of(15), "t-1", now) != nullptr);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
