--- a/include/coltsfootlock/coordination/steering/record_follower.h
+++ b/include/coltsfootlock/coordination/steering/record_follower.h
@@ -14,11 +14,20 @@
 {
   /// How long the store may hold a watch without changes. A connection that fell silent is noticed after this time and
   /// `answer_slack`; together they stay below the time after which the daemon's knowledge has to be right again.
-  milliseconds watch_wait{ 1500 };
+  milliseconds watch_wait{ 1200 };
 
   /// How long an answer may take beyond the wait.
   milliseconds answer_slack{ 1200 };
 
+  /// The same for calls to another daemon, which is near and tells its changes at once.
+  milliseconds peer_wait{ 600 };
+  milliseconds peer_slack{ 400 };
+
+  /// Records of another daemon that are older than this are not relied on: the longest age at a daemon that reads the
+  /// store itself is `watch_wait`, and `peer_wait` and two round trips come on top. Below the shortest time in which a
+  /// change has to be in force (3 s), so that there is time to read the store instead.
+  milliseconds oldest_peer_records{ 2200 };
+
   /// How long a page of a list may take.
   milliseconds list_timeout{ 1500 };
 
@@ -53,8 +62,9 @@
     milliseconds timeout{ 0 };
   };
 
-  /// The call to make now; empty while one is under way or while the daemon waits until `wakes_at`.
-  std::optional<planned_call> next_call(instant now);
+  /// The call to make now; empty while one is under way or while the daemon waits until `wakes_at`. `from_peer`: it
+  /// goes to another daemon instead of the store.
+  std::optional<planned_call> next_call(bool from_peer, instant now);
 
   instant wakes_at() const { return wakes_at_; }
 
@@ -70,12 +80,19 @@
   /// The answer to the last call.
   progress on_answer(record_answer answer, instant now);
 
+  /// The last call, which went to another daemon, had no usable answer: another one can follow at once.
+  void on_peer_failure();
+
   /// When the daemon last knew everything; empty until the first list is complete.
   std::optional<instant> confirmed_at() const { return confirmed_at_; }
 
   /// Until when a missing record may be a consequence of an outage.
   instant settles_at() const { return settles_at_; }
 
+  /// Failed calls to the store since the last answer.
+  unsigned failures() const { return failures_; }
+
+  /// The last call to the store was answered.
   bool in_touch() const { return failures_ == 0 && confirmed_at_.has_value(); }
 
   std::uint64_t revision() const { return revision_; }
@@ -85,12 +102,14 @@
   progress on(record_events events, instant now);
   progress on(const history_forgotten& answer, instant now);
   progress on(const call_failed& answer, instant now);
-  void note_success(progress& result, instant now);
+  void note_success(progress& result, const answer_age& age, instant now);
   void spend(instant now);
+  void confirm(instant at);
 
   follower_settings settings_;
   std::minstd_rand random_;
   bool calling_ = false;
+  bool from_peer_ = false;
   bool listing_ = true;
   std::string list_after_;
   std::uint64_t list_revision_ = 0;
--- /dev/null
+++ b/include/coltsfootlock/coordination/steering/source_choice.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "coltsfootlock/state/endpoint.h"
+#include "coltsfootlock/state/time.h"
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace coltsfootlock {
+
+/// Another daemon as this one knows it.
+struct fleet_member
+{
+  std::string id;
+  std::string domain;
+  endpoint call_address;
+
+  auto operator<=>(const fleet_member&) const = default;
+};
+
+/// Chooses where a daemon reads the platform's records: from the store, or from another daemon of its domain.
+///
+/// Load pattern: many daemons watch a store whose calls are dear and limited. One daemon of each domain, the first by a
+/// hash of the names, reads the store, and the others follow it. This needs no agreement: a daemon that follows the
+/// wrong one sees only how old the answers are. Whoever answers late, not at all, or with old records is left out for a
+/// while, and without anybody else the daemon reads the store itself.
+class source_choice
+{
+public:
+  /// A member that has not been heard of for this long is forgotten; three intervals of `introduction_interval`.
+  static constexpr milliseconds member_lifetime{ 15000 };
+
+  /// How often a daemon introduces itself to a seed and asks for the members of its domain.
+  static constexpr milliseconds introduction_interval{ 5000 };
+
+  /// The same until it knows another member.
+  static constexpr milliseconds first_introductions{ 1000 };
+
+  /// A member that failed is left out for this time, doubling up to the longest.
+  static constexpr milliseconds first_exclusion{ 4000 };
+  static constexpr milliseconds longest_exclusion{ 32000 };
+
+  source_choice(std::string self, std::string domain);
+
+  void on_member(const fleet_member& member, instant now);
+
+  /// Members of a domain, for another daemon that asks.
+  std::vector<fleet_member> members_of(const std::string& domain, instant now) const;
+
+  /// The member to read from; empty if this daemon is to read the store.
+  std::optional<fleet_member> peer(instant now) const;
+
+  /// The best member whatever this daemon's own rank, for a daemon that the store does not answer.
+  std::optional<fleet_member> fallback(instant now) const;
+
+  void on_success(const std::string& id);
+  void on_failure(const std::string& id, instant now);
+
+  /// True if an introduction is due.
+  bool introduction_due(instant now) const { return now >= next_introduction_; }
+  void on_introduction(instant now);
+
+private:
+  struct member_state
+  {
+    fleet_member member;
+    instant heard;
+    std::uint64_t rank = 0; ///< The highest of a domain reads the store.
+    int failures = 0;
+    instant excluded_until;
+  };
+
+  const member_state* best_member(instant now) const;
+
+  const std::string self_;
+  const std::string domain_;
+  const std::uint64_t self_rank_;
+  std::map<std::string, member_state> members_;
+  instant next_introduction_;
+};
+
+}
--- a/include/coltsfootlock/state/record_call.h
+++ b/include/coltsfootlock/state/record_call.h
@@ -11,7 +11,7 @@
 
 namespace coltsfootlock {
 
-/// Asks the platform's store for the records whose keys follow `after`.
+/// Asks the platform's store, or a daemon that follows it, for the records whose keys follow `after`.
 struct list_call
 {
   std::string after; ///< Empty for the first page.
@@ -19,7 +19,7 @@
   auto operator<=>(const list_call&) const = default;
 };
 
-/// Asks for the changes after a revision; the store waits for the first one.
+/// Asks for the changes after a revision; the answer waits for the first one.
 struct watch_call
 {
   std::uint64_t after = 0;
@@ -30,12 +30,22 @@
 
 using record_call = std::variant<list_call, watch_call>;
 
+/// How far the sender of an answer is behind the store; zero if it is the store itself.
+struct answer_age
+{
+  milliseconds records{ 0 };     ///< Time since the sender's records were known to be complete.
+  milliseconds settle_left{ 0 }; ///< Time for which missing records may be a consequence of an outage of the store.
+
+  auto operator<=>(const answer_age&) const = default;
+};
+
 struct record_page
 {
   std::vector<record_change> records;
   std::uint64_t store_revision = 0;
   std::string last_key; ///< The next page follows this key.
   bool more = false;
+  answer_age age;
 
   bool operator==(const record_page&) const = default;
 };
@@ -44,11 +54,12 @@
 {
   std::vector<record_change> changes; ///< Empty if nothing changed while the store waited.
   std::uint64_t store_revision = 0;
+  answer_age age;
 
   bool operator==(const record_events&) const = default;
 };
 
-/// The store no longer has the changes that a watch asked for.
+/// The sender no longer has the changes that a watch asked for.
 struct history_forgotten
 {
   auto operator<=>(const history_forgotten&) const = default;
--- a/include/coltsfootlock/transport/page_server.h
+++ b/include/coltsfootlock/transport/page_server.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -24,12 +25,22 @@
   auto operator<=>(const page&) const = default;
 };
 
-/// Answers GET requests with small pages, without threads and without blocking. For health pages and metrics on VMs
+/// The part of a request that its page depends on.
+struct page_request
+{
+  std::map<std::string, std::string> query; ///< Values are taken as they are, without decoding.
+  instant arrived;
+
+  auto operator<=>(const page_request&) const = default;
+};
+
+/// Answers GET requests with pages, without threads and without blocking. For health pages and metrics on VMs
 /// with a small part of a core.
 class page_server
 {
 public:
-  using handler = std::function<page()>;
+  /// Empty while the request has to wait; it is then asked again at each `advance`.
+  using handler = std::function<std::optional<page>(const page_request&, instant now)>;
 
   /// Listens on `local`; empty with the reason in `why` on failure.
   static std::optional<page_server> listen(const endpoint& local, error& why);
@@ -46,8 +57,9 @@
   /// Appends the descriptors to wait for.
   void add_descriptors(std::vector<pollfd>& wanted) const;
 
-  /// Serves what is ready. Connections without a complete request for a while are closed.
-  void advance(instant now);
+  /// Serves the connections that are ready, and the waiting requests whose pages are. `polled`: the descriptors of the
+  /// last `add_descriptors` after poll(). Connections without a complete request for a while are closed.
+  void advance(std::span<const pollfd> polled, instant now);
 
 private:
   struct implementation;
--- a/libraries/coordination/steering/record_follower.cpp
+++ b/libraries/coordination/steering/record_follower.cpp
@@ -27,16 +27,25 @@
 }
 
 std::optional<record_follower::planned_call>
-record_follower::next_call(instant now)
+record_follower::next_call(bool from_peer, instant now)
 {
-  if (calling_ || now < wakes_at_) {
+  if (calling_ || (!from_peer && now < wakes_at_)) {
     return std::nullopt;
   }
+  if (from_peer != from_peer_) {
+    list_after_.clear(); // Pages of two senders do not continue each other.
+  }
   calling_ = true;
-  spend(now);
+  from_peer_ = from_peer;
+  if (!from_peer) {
+    spend(now);
+  }
   if (listing_) {
     return planned_call{ list_call{ list_after_ }, settings_.list_timeout };
   }
+  if (from_peer) {
+    return planned_call{ watch_call{ revision_, settings_.peer_wait }, settings_.peer_wait + settings_.peer_slack };
+  }
   return planned_call{ watch_call{ revision_, settings_.watch_wait }, settings_.watch_wait + settings_.answer_slack };
 }
 
@@ -48,20 +57,29 @@
 }
 
 void
-record_follower::note_success(progress& result, instant now)
+record_follower::note_success(progress& result, const answer_age& age, instant now)
 {
-  if (failures_ > 0) {
+  if (!from_peer_ && failures_ > 0) {
     result.regained = true;
     settles_at_ = now + settings_.settle;
   }
-  failures_ = 0;
+  if (!from_peer_) {
+    failures_ = 0;
+  }
+  settles_at_ = std::max(settles_at_, now + age.settle_left);
+}
+
+void
+record_follower::on_peer_failure()
+{
+  calling_ = false;
 }
 
 record_follower::progress
 record_follower::on(record_page page, instant now)
 {
   progress result;
-  note_success(result, now);
+  note_success(result, page.age, now);
   if (list_after_.empty()) {
     result.snapshot_begins = true;
     list_revision_ = page.store_revision;
@@ -73,11 +91,11 @@
     return result;
   }
   // Later pages may be newer than the first one; the watch repeats what changed in between.
-  revision_ = list_revision_;
+  revision_ = std::max(revision_, list_revision_);
   result.snapshot_complete = list_revision_;
   listing_ = false;
   list_after_.clear();
-  confirmed_at_ = now;
+  confirm(now - page.age.records);
   wakes_at_ = now;
   return result;
 }
@@ -86,18 +104,24 @@
 record_follower::on(record_events events, instant now)
 {
   progress result;
-  note_success(result, now);
+  note_success(result, events.age, now);
   result.changes = std::move(events.changes);
   revision_ = std::max(revision_, events.store_revision);
-  confirmed_at_ = now;
+  confirm(now - events.age.records);
   return result;
 }
 
+void
+record_follower::confirm(instant at)
+{
+  confirmed_at_ = confirmed_at_ ? std::max(*confirmed_at_, at) : at;
+}
+
 record_follower::progress
 record_follower::on(const history_forgotten&, instant now)
 {
   progress result;
-  note_success(result, now);
+  note_success(result, {}, now);
   settles_at_ = now + settings_.settle;
   listing_ = true;
   list_after_.clear();
--- /dev/null
+++ b/libraries/coordination/steering/source_choice.cpp
@@ -0,0 +1,104 @@
+#include "coltsfootlock/coordination/steering/source_choice.h"
+
+#include "coltsfootlock/coordination/rendezvous.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace coltsfootlock {
+
+source_choice::source_choice(std::string self, std::string domain)
+  : self_(std::move(self))
+  , domain_(std::move(domain))
+  , self_rank_(rendezvous_score(hash_text(domain_), self_))
+{
+}
+
+void
+source_choice::on_member(const fleet_member& member, instant now)
+{
+  if (member.id == self_) {
+    return;
+  }
+  std::erase_if(members_, [now](const auto& entry) { return now - entry.second.heard > member_lifetime; });
+  member_state& state = members_[member.id];
+  if (state.member.call_address != member.call_address) {
+    state.failures = 0;
+    state.excluded_until = instant{};
+  }
+  state.member = member;
+  state.heard = now;
+  state.rank = rendezvous_score(hash_text(member.domain), member.id);
+}
+
+std::vector<fleet_member>
+source_choice::members_of(const std::string& domain, instant now) const
+{
+  std::vector<fleet_member> result;
+  for (const auto& [id, state] : members_) {
+    if (state.member.domain == domain && now - state.heard <= member_lifetime) {
+      result.push_back(state.member);
+    }
+  }
+  return result;
+}
+
+const source_choice::member_state*
+source_choice::best_member(instant now) const
+{
+  const member_state* best = nullptr;
+  for (const auto& [id, state] : members_) {
+    if (state.member.domain != domain_ || now - state.heard > member_lifetime || state.excluded_until > now) {
+      continue;
+    }
+    if (best == nullptr || state.rank > best->rank) {
+      best = &state;
+    }
+  }
+  return best;
+}
+
+std::optional<fleet_member>
+source_choice::peer(instant now) const
+{
+  const member_state* best = best_member(now);
+  return best == nullptr || best->rank <= self_rank_ ? std::nullopt : std::optional<fleet_member>(best->member);
+}
+
+std::optional<fleet_member>
+source_choice::fallback(instant now) const
+{
+  const member_state* best = best_member(now);
+  return best == nullptr ? std::nullopt : std::optional<fleet_member>(best->member);
+}
+
+void
+source_choice::on_success(const std::string& id)
+{
+  const auto found = members_.find(id);
+  if (found != members_.end()) {
+    found->second.failures = 0;
+  }
+}
+
+void
+source_choice::on_failure(const std::string& id, instant now)
+{
+  const auto found = members_.find(id);
+  if (found == members_.end()) {
+    return;
+  }
+  member_state& state = found->second;
+  const milliseconds exclusion = std::min(first_exclusion * (1 << std::min(state.failures, 8)), longest_exclusion);
+  ++state.failures;
+  state.excluded_until = now + exclusion;
+}
+
+void
+source_choice::on_introduction(instant now)
+{
+  const bool alone = members_of(domain_, now).empty();
+  next_introduction_ = now + (alone ? first_introductions : introduction_interval);
+}
+
+}
--- a/libraries/coordination/steering/tests/test_record_follower.cpp
+++ b/libraries/coordination/steering/tests/test_record_follower.cpp
@@ -14,7 +14,7 @@
 
   record_call call()
   {
-    const auto planned = follower.next_call(now);
+    const auto planned = follower.next_call(false, now);
     BOOST_REQUIRE(planned.has_value());
     return planned->call;
   }
@@ -22,7 +22,7 @@
   void list(std::uint64_t revision)
   {
     call();
-    follower.on_answer(record_page{ {}, revision, "", false }, now);
+    follower.on_answer(record_page{ {}, revision, "", false, {} }, now);
   }
 };
 
@@ -36,12 +36,12 @@
 BOOST_AUTO_TEST_CASE(the_watch_continues_from_the_first_page_of_the_list)
 {
   BOOST_TEST((std::get<list_call>(call()) == list_call{ "" }));
-  auto progress = follower.on_answer(record_page{ {}, 50, "k", true }, now);
+  auto progress = follower.on_answer(record_page{ {}, 50, "k", true, {} }, now);
   BOOST_TEST(progress.snapshot_begins);
   BOOST_TEST(!progress.snapshot_complete.has_value());
   BOOST_TEST(!follower.confirmed_at().has_value());
   BOOST_TEST((std::get<list_call>(call()) == list_call{ "k" }));
-  progress = follower.on_answer(record_page{ {}, 60, "z", false }, now);
+  progress = follower.on_answer(record_page{ {}, 60, "z", false, {} }, now);
   BOOST_TEST(!progress.snapshot_begins);
   BOOST_TEST(progress.snapshot_complete.value() == 50U);
   BOOST_TEST(std::get<watch_call>(call()).after == 50U);
@@ -79,14 +79,14 @@
 {
   list(50);
   call();
-  follower.on_answer(record_events{ {}, 50 }, now);
+  follower.on_answer(record_events{ {}, 50, {} }, now);
   BOOST_TEST((follower.settles_at() <= now));
   now = std::max(now, follower.wakes_at());
   call();
   follower.on_answer(failure, now);
   now = std::max(now, follower.wakes_at());
   call();
-  const auto progress = follower.on_answer(record_events{ {}, 51 }, now);
+  const auto progress = follower.on_answer(record_events{ {}, 51, {} }, now);
   BOOST_TEST(progress.regained);
   BOOST_TEST((follower.settles_at() == now + settings.settle));
 }
@@ -103,7 +103,7 @@
     call();
     ++calls;
     now += milliseconds(5);
-    follower.on_answer(record_events{ {}, ++revision }, now);
+    follower.on_answer(record_events{ {}, ++revision, {} }, now);
   }
   BOOST_TEST(calls <= 20 * settings.calls_per_second + settings.call_burst);
 }
--- /dev/null
+++ b/libraries/protocol/relay_codec.cpp
@@ -0,0 +1,275 @@
+#include "coltsfootlock/protocol/relay_codec.h"
+
+#include "coltsfootlock/protocol/json_fields.h"
+
+#include <limits>
+#include <memory>
+#include <utility>
+
+namespace coltsfootlock {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::size_t most_elements = 100000;
+constexpr std::size_t longest_text = 1024;
+constexpr std::uint64_t largest_number = std::numeric_limits<std::int64_t>::max();
+constexpr std::uint32_t largest_small_number = std::numeric_limits<std::uint32_t>::max();
+
+std::string
+to_bytes(const json& value)
+{
+  std::string bytes;
+  json::to_msgpack(value, nlohmann::detail::output_adapter<char>(bytes));
+  return bytes;
+}
+
+json
+from_bytes(std::string_view bytes, error& why)
+{
+  json value = json::from_msgpack(bytes.begin(), bytes.end(), true, false);
+  if (!value.is_object()) {
+    why = { error_kind::syntax, "the answer of the other daemon is no MessagePack map" };
+  }
+  return value;
+}
+
+json
+encode_service(const service& value)
+{
+  json split = json::array();
+  for (const group_weight& part : value.split) {
+    split.push_back({ { "group", part.target_group }, { "weight", part.weight } });
+  }
+  return { { "name", value.name },
+           { "address", to_string(value.address) },
+           { "group", value.target_group },
+           { "class", static_cast<unsigned>(value.urgency) },
+           { "timeout_ms", value.request_timeout_ms },
+           { "split", std::move(split) } };
+}
+
+service
+decode_service(json_fields& fields)
+{
+  service result;
+  result.name = fields.text("name", longest_text);
+  result.address = fields.address("address");
+  result.target_group = fields.text("group", longest_text);
+  result.urgency = static_cast<service_class>(fields.small_number("class", 0, service_class_count - 1));
+  result.request_timeout_ms = fields.small_number("timeout_ms", 0, largest_small_number);
+  fields.each("split", most_elements, [&result](json_fields& part) {
+    result.split.push_back({ part.text("group", longest_text), part.small_number("weight", 0, largest_small_number) });
+  });
+  return result;
+}
+
+struct content_encoder
+{
+  json operator()(const target_published& content) const
+  {
+    const target_record& target = content.target;
+    return { { "kind", "target" },
+             { "id", target.vm.id },
+             { "domain", target.vm.domain },
+             { "leaving", target.vm.leaving },
+             { "group", target.vm.target_group },
+             { "address", to_string(target.vm.packet_address) },
+             { "incarnation", target.vm.incarnation },
+             { "tag", target.tag },
+             { "slots", target.slots },
+             { "warm_up_ms", target.warm_up_left.count() } };
+  }
+  json operator()(const target_removed& content) const { return { { "kind", "removed" }, { "id", content.id } }; }
+  json operator()(const target_unreadable& content) const
+  {
+    return { { "kind", "unreadable" }, { "id", content.id }, { "reason", content.why.message } };
+  }
+  json operator()(const catalogue_published& content) const
+  {
+    json services = json::array();
+    for (const service& entry : content.value->services) {
+      services.push_back(encode_service(entry));
+    }
+    json rates = json::array();
+    for (const cold_start_rate& rate : content.value->cold_starts) {
+      rates.push_back({ { "group", rate.target_group }, { "opens_per_second", rate.opens_per_second } });
+    }
+    return { { "kind", "catalogue" },
+             { "version", content.value->version },
+             { "flow_idle_ms", content.value->flow_idle_ms },
+             { "services", std::move(services) },
+             { "cold_starts", std::move(rates) } };
+  }
+  json operator()(const catalogue_unreadable& content) const
+  {
+    return { { "kind", "unreadable_catalogue" }, { "reason", content.why.message } };
+  }
+  json operator()(const domain_switched& content) const
+  {
+    return { { "kind", "domain" }, { "domain", content.domain }, { "in_service", content.in_service } };
+  }
+};
+
+target_published
+decode_target(json_fields& fields)
+{
+  target_record target;
+  target.vm.id = fields.text("id", longest_text);
+  target.vm.domain = fields.text("domain", longest_text);
+  target.vm.leaving = fields.flag("leaving");
+  target.vm.target_group = fields.text("group", longest_text);
+  target.vm.packet_address = fields.address("address");
+  target.vm.load_address = target.vm.packet_address;
+  target.vm.incarnation = fields.number("incarnation", 0, largest_number);
+  target.tag = fields.number("tag", 0, std::numeric_limits<std::uint64_t>::max());
+  target.slots = fields.small_number("slots", 0, largest_small_number);
+  target.warm_up_left = milliseconds(static_cast<milliseconds::rep>(fields.number("warm_up_ms", 0, largest_number)));
+  return { std::move(target) };
+}
+
+catalogue_published
+decode_catalogue(json_fields& fields, const json& content)
+{
+  auto value = std::make_shared<catalogue>();
+  value->version = fields.number("version", 0, largest_number);
+  value->flow_idle_ms = fields.small_number("flow_idle_ms", 0, largest_small_number);
+  fields.each("services", most_elements, [&](json_fields& entry) { value->services.push_back(decode_service(entry)); });
+  std::size_t position = 0;
+  fields.each("cold_starts", most_elements, [&](json_fields& entry) {
+    const json& rate = content["cold_starts"][position++]["opens_per_second"];
+    value->cold_starts.push_back({ entry.text("group", longest_text), rate.is_number() ? rate.get<double>() : 0.0 });
+  });
+  return { std::move(value) };
+}
+
+record_change
+decode_change(json_fields& fields, const json& content)
+{
+  record_change result;
+  result.revision = fields.number("revision", 0, largest_number);
+  const std::string kind = fields.text("kind", longest_text);
+  if (kind == "target") {
+    result.content = decode_target(fields);
+  } else if (kind == "removed") {
+    result.content = target_removed{ fields.text("id", longest_text) };
+  } else if (kind == "unreadable") {
+    result.content =
+      target_unreadable{ fields.text("id", longest_text), { error_kind::syntax, fields.text("reason", longest_text) } };
+  } else if (kind == "catalogue") {
+    result.content = decode_catalogue(fields, content);
+  } else if (kind == "unreadable_catalogue") {
+    result.content = catalogue_unreadable{ { error_kind::syntax, fields.text("reason", longest_text) } };
+  } else if (kind == "domain") {
+    result.content = domain_switched{ fields.text("domain", longest_text), fields.flag("in_service") };
+  } else {
+    fields.fail(error_kind::unknown_name, "kind", "is \"" + kind + "\"; update the daemon");
+  }
+  return result;
+}
+
+std::string
+encode(const std::vector<record_change>& changes, std::uint64_t revision, const answer_age& age)
+{
+  json list = json::array();
+  for (const record_change& change : changes) {
+    json content = std::visit(content_encoder{}, change.content);
+    content["revision"] = change.revision;
+    list.push_back(std::move(content));
+  }
+  return to_bytes({ { "revision", revision },
+                    { "age_ms", age.records.count() },
+                    { "settle_ms", age.settle_left.count() },
+                    { "changes", std::move(list) } });
+}
+
+/// Fills an answer of either kind; false with the reason in `why` if the bytes cannot be read.
+bool
+decode(std::string_view bytes,
+       std::vector<record_change>& changes,
+       std::uint64_t& revision,
+       answer_age& age,
+       error& why)
+{
+  const json content = from_bytes(bytes, why);
+  if (why.kind != error_kind::none) {
+    return false;
+  }
+  json_fields fields(content, "", why);
+  revision = fields.number("revision", 0, largest_number);
+  age.records = milliseconds(static_cast<milliseconds::rep>(fields.number("age_ms", 0, largest_number)));
+  age.settle_left = milliseconds(static_cast<milliseconds::rep>(fields.number("settle_ms", 0, largest_number)));
+  std::size_t position = 0;
+  fields.each("changes", most_elements, [&](json_fields& entry) {
+    changes.push_back(decode_change(entry, content["changes"][position++]));
+  });
+  return fields.ok();
+}
+
+}
+
+std::string
+encode_page(const record_page& page)
+{
+  return encode(page.records, page.store_revision, page.age);
+}
+
+std::string
+encode_events(const record_events& events)
+{
+  return encode(events.changes, events.store_revision, events.age);
+}
+
+record_answer
+decode_page(std::string_view bytes)
+{
+  record_page page;
+  error why;
+  if (!decode(bytes, page.records, page.store_revision, page.age, why)) {
+    return call_failed{ why };
+  }
+  return page;
+}
+
+record_answer
+decode_events(std::string_view bytes)
+{
+  record_events events;
+  error why;
+  if (!decode(bytes, events.changes, events.store_revision, events.age, why)) {
+    return call_failed{ why };
+  }
+  return events;
+}
+
+std::string
+encode_members(const std::vector<fleet_member>& members)
+{
+  json list = json::array();
+  for (const fleet_member& member : members) {
+    list.push_back({ { "id", member.id }, { "domain", member.domain }, { "address", to_string(member.call_address) } });
+  }
+  return to_bytes({ { "members", std::move(list) } });
+}
+
+std::optional<std::vector<fleet_member>>
+decode_members(std::string_view bytes, error& why)
+{
+  const json content = from_bytes(bytes, why);
+  if (why.kind != error_kind::none) {
+    return std::nullopt;
+  }
+  std::vector<fleet_member> result;
+  json_fields fields(content, "", why);
+  fields.each("members", most_elements, [&result](json_fields& member) {
+    result.push_back(
+      { member.text("id", longest_text), member.text("domain", longest_text), member.address("address") });
+  });
+  if (!fields.ok()) {
+    return std::nullopt;
+  }
+  return result;
+}
+
+}
--- a/libraries/transport/page_server.cpp
+++ b/libraries/transport/page_server.cpp
@@ -3,6 +3,7 @@
 #include "socket_address.h"
 #include "tcp_stream.h"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstring>
@@ -17,14 +18,14 @@
 
 namespace {
 
-/// Connections at once: the callers are the platform's readiness checks and a metrics reader.
-constexpr std::size_t most_connections = 32;
+/// Connections at once: the platform's readiness checks, a metrics reader, and the daemons of a failure domain.
+constexpr std::size_t most_connections = 256;
 
 /// A connection without a request for this long is closed; longer than the usual interval of readiness checks and
 /// scrapes.
 constexpr milliseconds idle_timeout{ 15000 };
 
-constexpr std::size_t longest_path = 256;
+constexpr std::size_t longest_path = 512;
 constexpr int backlog = 64;
 
 struct connection
@@ -36,6 +37,8 @@
   bool keep_alive = false;
   std::string unsent;
   instant last_used;
+  page_server::handler waiting; ///< Set while the request waits for its page.
+  page_request request;
 
   void restart()
   {
@@ -75,6 +78,21 @@
   return result;
 }
 
+std::map<std::string, std::string>
+read_query(const std::string& path)
+{
+  std::map<std::string, std::string> result;
+  std::size_t begin = path.find('?');
+  while (begin != std::string::npos && begin < path.size()) {
+    const std::size_t end = std::min(path.find('&', begin + 1), path.size());
+    const std::string part = path.substr(begin + 1, end - begin - 1);
+    const std::size_t separator = part.find('=');
+    result[part.substr(0, separator)] = separator == std::string::npos ? "" : part.substr(separator + 1);
+    begin = end;
+  }
+  return result;
+}
+
 const char*
 reason_phrase(int status)
 {
@@ -98,7 +116,9 @@
   std::list<connection> connections;
 
   void accept_all(instant now);
-  page answer(const connection& caller) const;
+  handler find(const connection& caller) const;
+  /// Appends the answer to a complete request. False once the connection is over.
+  bool answer(connection& caller, instant now);
   /// False once the connection is over.
   bool serve(connection& caller, instant now);
 };
@@ -175,14 +195,34 @@
   }
 }
 
-page
-page_server::implementation::answer(const connection& caller) const
+page_server::handler
+page_server::implementation::find(const connection& caller) const
 {
   if (caller.parser.method != HTTP_GET) {
-    return { 405, "", "text/plain" };
+    return [](const page_request&, instant) { return page{ 405, "", "text/plain" }; };
   }
   const auto found = pages.find(caller.path.substr(0, caller.path.find('?')));
-  return found == pages.end() ? page{ 404, "", "text/plain" } : found->second();
+  if (found == pages.end()) {
+    return [](const page_request&, instant) { return page{ 404, "", "text/plain" }; };
+  }
+  return found->second;
+}
+
+bool
+page_server::implementation::answer(connection& caller, instant now)
+{
+  auto content = caller.waiting(caller.request, now);
+  if (!content) {
+    return true;
+  }
+  caller.waiting = nullptr;
+  caller.last_used = now;
+  caller.unsent += to_bytes(*content, caller.keep_alive);
+  if (caller.stream.write(caller.unsent) == tcp_stream::state::broken || !caller.keep_alive) {
+    return false;
+  }
+  caller.restart();
+  return true;
 }
 
 bool
@@ -190,6 +230,9 @@
 {
   static const http_parser_settings settings = parser_settings();
   std::array<char, 4096> buffer;
+  if (caller.waiting && !answer(caller, now)) {
+    return false;
+  }
   while (true) {
     if (!caller.unsent.empty() && caller.stream.write(caller.unsent) == tcp_stream::state::broken) {
       return false;
@@ -197,10 +240,10 @@
     std::size_t size = 0;
     const auto state = caller.stream.read(buffer.data(), buffer.size(), size);
     if (state == tcp_stream::state::waiting) {
-      return now - caller.last_used < idle_timeout;
+      return true;
     }
-    if (state == tcp_stream::state::broken) {
-      return false;
+    if (state == tcp_stream::state::broken || caller.waiting) {
+      return false; // Nobody sends a second request before the answer to the first.
     }
     const std::size_t parsed = http_parser_execute(&caller.parser, &settings, buffer.data(), size);
     if (!caller.complete && parsed < size) {
@@ -209,22 +252,32 @@
     if (!caller.complete) {
       continue;
     }
-    caller.last_used = now;
-    caller.unsent += to_bytes(answer(caller), caller.keep_alive);
-    if (!caller.keep_alive) {
-      caller.stream.write(caller.unsent);
+    caller.request = { read_query(caller.path), now };
+    caller.waiting = find(caller);
+    if (!answer(caller, now)) {
       return false;
     }
-    caller.restart();
   }
 }
 
 void
-page_server::advance(instant now)
+page_server::advance(std::span<const pollfd> polled, instant now)
 {
-  implementation_->accept_all(now);
-  std::erase_if(implementation_->connections,
-                [this, now](connection& caller) { return !implementation_->serve(caller, now); });
+  std::size_t position = 1; // The listener is the first one.
+  std::erase_if(implementation_->connections, [&](connection& caller) {
+    const bool ready = position < polled.size() && polled[position].revents != 0;
+    ++position;
+    if (ready) {
+      return !implementation_->serve(caller, now);
+    }
+    if (caller.waiting) {
+      return !implementation_->answer(caller, now);
+    }
+    return now - caller.last_used > idle_timeout;
+  });
+  if (!polled.empty() && polled.front().revents != 0) {
+    implementation_->accept_all(now);
+  }
 }
 
 }
--- a/programs/coltsfootlockd/carried/carried_daemon.cpp
+++ b/programs/coltsfootlockd/carried/carried_daemon.cpp
@@ -2,7 +2,9 @@
 
 #include "carried/carried_metrics.h"
 #include "carried/carried_settings.h"
+#include "carried/introductions.h"
 #include "carried/packet_path.h"
+#include "carried/peer_pages.h"
 #include "carried/record_path.h"
 #include "command_line.h"
 #include "exit_codes.h"
@@ -17,6 +19,7 @@
 #include <csignal>
 #include <iostream>
 #include <memory>
+#include <span>
 
 #include <unistd.h>
 
@@ -30,6 +33,10 @@
 /// How often the settings file is compared, in case it changes without a signal.
 constexpr milliseconds settings_interval{ 2000 };
 
+/// Packets wait for the records no longer than this after the start; the retransmission timeout of a caller (200 ms)
+/// and the longest usual start of the store's answers.
+constexpr milliseconds longest_packet_wait{ 500 };
+
 /// After SIGTERM the daemon leaves once the platform has seen it as not ready this often, which takes it out of
 /// rotation, and no packet has come for a while.
 constexpr int refusals_before_leaving = 2;
@@ -70,17 +77,22 @@
     , settings_(settings)
     , engine_(settings.steering)
     , packets_(std::move(socket), engine_)
+    , sources_(settings.steering.self, settings.steering.domain)
     , records_(settings.platform,
                settings.follower,
                static_cast<std::uint32_t>(hash_text(settings.steering.self)),
+               sources_,
                engine_)
     , ready_server_(std::move(ready_server))
   {
-    ready_server_.add_page("/ready", [this] { return ready_page(); });
+    ready_server_.add_page("/ready", [this](const page_request&, instant) { return ready_page(); });
   }
 
   void serve_metrics(page_server server);
 
+  /// Lets other daemons follow this one, and this one follow others.
+  void serve_peers(const endpoint& call_address, page_server server);
+
   /// Returns after SIGTERM.
   void run();
 
@@ -98,11 +110,15 @@
   carried_settings settings_;
   steering_engine engine_;
   packet_path packets_;
+  source_choice sources_;
   record_path records_;
+  std::optional<introductions> introductions_;
+  std::optional<page_server> peer_server_;
   page_server ready_server_;
   std::optional<page_server> metrics_server_;
   std::vector<pollfd> descriptors_;
   instant now_;
+  instant started_;
   instant next_tick_;
   instant next_log_;
   instant next_settings_check_;
@@ -115,11 +131,20 @@
 carried_daemon::serve_metrics(page_server server)
 {
   metrics_server_ = std::move(server);
-  metrics_server_->add_page("/metrics", [this] {
+  metrics_server_->add_page("/metrics", [this](const page_request&, instant) {
     return page{ 200, carried_metrics(engine_, packets_, records_, is_ready(), now_), "text/plain; version=0.0.4" };
   });
 }
 
+void
+carried_daemon::serve_peers(const endpoint& call_address, page_server server)
+{
+  peer_server_ = std::move(server);
+  peer_pages::add_pages(*peer_server_, records_, sources_, settings_.follower.oldest_peer_records);
+  introductions_.emplace(
+    fleet_member{ settings_.steering.self, settings_.steering.domain, call_address }, settings_.seeds, sources_);
+}
+
 page
 carried_daemon::ready_page()
 {
@@ -151,32 +176,56 @@
 void
 carried_daemon::wait_and_handle()
 {
+  // Packets wait in the socket until the records are known, which usually takes a few round trips after the start.
+  const bool takes_packets = engine_.knows_records() || now_ - started_ > longest_packet_wait;
   descriptors_.clear();
-  descriptors_.push_back({ packets_.descriptor(), POLLIN, 0 });
+  const auto begin_group = [this] { return descriptors_.size(); };
+  if (takes_packets) {
+    descriptors_.push_back({ packets_.descriptor(), POLLIN, 0 });
+  }
+  const std::size_t record_group = begin_group();
   records_.add_descriptor(descriptors_);
-  const std::size_t first_page = descriptors_.size();
+  const std::size_t introduction_group = begin_group();
+  if (introductions_) {
+    introductions_->add_descriptor(descriptors_);
+  }
+  const std::size_t ready_group = begin_group();
   ready_server_.add_descriptors(descriptors_);
-  const std::size_t first_metrics = descriptors_.size();
+  const std::size_t metrics_group = begin_group();
   if (metrics_server_) {
     metrics_server_->add_descriptors(descriptors_);
   }
+  const std::size_t peer_group = begin_group();
+  if (peer_server_) {
+    peer_server_->add_descriptors(descriptors_);
+  }
   ::poll(descriptors_.data(), descriptors_.size(), wait_time(now_));
   now_ = boot_clock_now();
-  const auto any_ready = [this](std::size_t begin, std::size_t end) {
-    return std::any_of(descriptors_.begin() + static_cast<std::ptrdiff_t>(begin),
-                       descriptors_.begin() + static_cast<std::ptrdiff_t>(end),
-                       [](const pollfd& waited) { return waited.revents != 0; });
+  const std::span<const pollfd> polled = descriptors_;
+  const auto group = [&polled](std::size_t begin, std::size_t end) { return polled.subspan(begin, end - begin); };
+  const auto any_ready = [](std::span<const pollfd> waited) {
+    return std::any_of(waited.begin(), waited.end(), [](const pollfd& one) { return one.revents != 0; });
   };
-  if (any_ready(0, 1)) {
+  const bool tick_due = now_ >= next_tick_;
+  const auto serve = [&](page_server& server, std::span<const pollfd> waited, bool news) {
+    if (tick_due || news || any_ready(waited)) {
+      server.advance(waited, now_);
+    }
+  };
+  if (any_ready(group(0, record_group))) {
     packets_.advance(records_.confirmed_at(), now_);
   }
-  records_.advance(any_ready(1, first_page), now_);
-  const bool tick_due = now_ >= next_tick_;
-  if (tick_due || any_ready(first_page, first_metrics)) {
-    ready_server_.advance(now_);
+  const std::uint64_t revision = records_.book().revision();
+  records_.advance(any_ready(group(record_group, introduction_group)), now_);
+  if (introductions_) {
+    introductions_->advance(any_ready(group(introduction_group, ready_group)), now_);
+  }
+  serve(ready_server_, group(ready_group, metrics_group), false);
+  if (metrics_server_) {
+    serve(*metrics_server_, group(metrics_group, peer_group), false);
   }
-  if (metrics_server_ && (tick_due || any_ready(first_metrics, descriptors_.size()))) {
-    metrics_server_->advance(now_);
+  if (peer_server_) {
+    serve(*peer_server_, group(peer_group, polled.size()), records_.book().revision() != revision);
   }
 }
 
@@ -217,6 +266,9 @@
   steering.domain = settings_.steering.domain;
   engine_.set_settings(steering);
   records_.set_store(changed->platform);
+  if (introductions_) {
+    introductions_->set_seeds(changed->seeds);
+  }
   settings_ = *changed;
   write_log(log_level::info, "daemon", "settings changed");
 }
@@ -250,6 +302,7 @@
 carried_daemon::run()
 {
   now_ = boot_clock_now();
+  started_ = now_;
   next_settings_check_ = now_ + settings_interval;
   engine_.tick(now_);
   while (!may_leave(now_)) {
@@ -296,6 +349,13 @@
     }
     daemon.serve_metrics(std::move(*metrics_server));
   }
+  if (settings->call_address) {
+    auto peer_server = page_server::listen(*settings->call_address, why);
+    if (!peer_server) {
+      return fail(exit_cannot_start, why);
+    }
+    daemon.serve_peers(*settings->call_address, std::move(*peer_server));
+  }
   write_log(log_level::info,
             "daemon",
             "starts vm=" + settings->steering.self + " domain=" + settings->steering.domain +
--- a/programs/coltsfootlockd/carried/carried_metrics.cpp
+++ b/programs/coltsfootlockd/carried/carried_metrics.cpp
@@ -43,18 +43,19 @@
 add_records(const record_path& records, instant now, metric_builder& metrics)
 {
   const record_counters& counters = records.counters();
-  metrics.begin_counter("store_calls_total", "Calls to the platform's store, by kind.");
-  metrics.add(static_cast<double>(counters.lists), { { "kind", "list" } });
-  metrics.add(static_cast<double>(counters.watches), { { "kind", "watch" } });
-  metrics.counter("store_failures_total",
-                  "Calls to the platform's store without a usable answer.",
-                  static_cast<double>(counters.failures));
-  metrics.counter("record_changes_total", "Changes read from the store.", static_cast<double>(counters.changes));
+  metrics.begin_counter("record_calls_total", "Calls for records, by kind and source.");
+  metrics.add(static_cast<double>(counters.store_lists), { { "kind", "list" }, { "source", "store" } });
+  metrics.add(static_cast<double>(counters.store_watches), { { "kind", "watch" }, { "source", "store" } });
+  metrics.add(static_cast<double>(counters.peer_calls), { { "kind", "any" }, { "source", "daemon" } });
+  metrics.begin_counter("record_failures_total", "Calls for records without a usable answer, by source.");
+  metrics.add(static_cast<double>(counters.store_failures), { { "source", "store" } });
+  metrics.add(static_cast<double>(counters.peer_failures), { { "source", "daemon" } });
+  metrics.counter("record_changes_total", "Changes of records.", static_cast<double>(counters.changes));
   const auto confirmed = records.confirmed_at();
   metrics.gauge("records_age_seconds",
                 "Time since the records were last known to be complete; -1 if they never were.",
                 confirmed ? std::chrono::duration<double>(now - *confirmed).count() : -1);
-  metrics.gauge("store_revision", "Revision of the records.", static_cast<double>(records.revision()));
+  metrics.gauge("store_revision", "Revision of the records.", static_cast<double>(records.book().revision()));
 }
 
 prometheus::MetricFamily
--- a/programs/coltsfootlockd/carried/carried_settings.cpp
+++ b/programs/coltsfootlockd/carried/carried_settings.cpp
@@ -21,19 +21,6 @@
   return true;
 }
 
-bool
-read_peer_port(const value_map& values, carried_settings& result, error& why)
-{
-  std::uint64_t port = 0;
-  if (!read_whole_number(values, "peer-port", "a port", 1, 65535, port, why)) {
-    return false;
-  }
-  if (port != 0) {
-    result.peer_port = static_cast<std::uint16_t>(port);
-  }
-  return true;
-}
-
 }
 
 std::optional<carried_settings>
@@ -45,9 +32,10 @@
       !read_address(values, "packet-address", result.packet_address, why) ||
       !read_address(values, "ready-address", result.ready_address, why) ||
       !read_address(values, "platform", result.platform, why) ||
+      !read_optional_address(values, "call-address", result.call_address, why) ||
       !read_optional_address(values, "metrics-address", result.metrics_address, why) ||
       !read_seeds(values, result.seeds, why) || !read_level(values, result.lowest_level, why) ||
-      !read_peer_port(values, result, why) || !read_times(values, result, why)) {
+      !read_times(values, result, why)) {
     return std::nullopt;
   }
   if (result.metrics_address == result.ready_address) {
--- a/programs/coltsfootlockd/carried/carried_settings.h
+++ b/programs/coltsfootlockd/carried/carried_settings.h
@@ -17,7 +17,7 @@
   endpoint packet_address;
   endpoint ready_address;
   std::optional<endpoint> metrics_address;
-  std::optional<std::uint16_t> peer_port;
+  std::optional<endpoint> call_address; ///< Without it the daemon follows no other one.
   endpoint platform;
   std::vector<endpoint> seeds;
   log_level lowest_level = log_level::info;
--- /dev/null
+++ b/programs/coltsfootlockd/carried/introductions.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "coltsfootlock/coordination/steering/source_choice.h"
+#include "coltsfootlock/transport/http_exchange.h"
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+#include <poll.h>
+
+namespace coltsfootlock {
+
+/// Introduces this daemon to the seeds, one after the other, and learns the members of its domain from them.
+class introductions
+{
+public:
+  introductions(const fleet_member& self, std::vector<endpoint> seeds, source_choice& sources);
+
+  void set_seeds(std::vector<endpoint> seeds) { seeds_ = std::move(seeds); }
+
+  void add_descriptor(std::vector<pollfd>& wanted) const;
+
+  /// Starts a due introduction and handles an answer or a timeout.
+  void advance(bool ready, instant now);
+
+private:
+  /// An introduction without an answer for this long goes to the next seed.
+  static constexpr milliseconds timeout{ 1000 };
+
+  void start(instant now);
+  void on_answer(const http_answer& answer, instant now);
+
+  const fleet_member self_;
+  std::vector<endpoint> seeds_;
+  std::size_t next_seed_ = 0;
+  std::optional<http_exchange> exchange_;
+  endpoint asked_;
+  instant deadline_;
+  source_choice& sources_;
+};
+
+}
--- /dev/null
+++ b/programs/coltsfootlockd/carried/peer_pages.cpp
@@ -0,0 +1,135 @@
+#include "carried/peer_pages.h"
+
+#include "coltsfootlock/protocol/relay_codec.h"
+
+#include <charconv>
+#include <optional>
+
+namespace coltsfootlock::peer_pages {
+
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_bad_request = 400;
+constexpr int status_gone = 410;
+constexpr int status_unavailable = 503;
+constexpr const char* binary = "application/msgpack";
+constexpr std::uint64_t longest_wait_ms = 30000;
+
+std::optional<std::uint64_t>
+number_of(const page_request& request, const std::string& name)
+{
+  const auto found = request.query.find(name);
+  std::uint64_t value = 0;
+  if (found == request.query.end()) {
+    return std::nullopt;
+  }
+  const std::string& text = found->second;
+  const auto [end, status] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (text.empty() || status != std::errc() || end != text.data() + text.size()) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+std::string
+text_of(const page_request& request, const std::string& name)
+{
+  const auto found = request.query.find(name);
+  return found == request.query.end() ? std::string() : found->second;
+}
+
+page
+list_page(const record_path& records, instant now)
+{
+  const auto age = records.age(now);
+  auto all = records.book().all();
+  if (!age || !all) {
+    return { status_unavailable, "", "text/plain" };
+  }
+  return { status_ok, encode_page({ std::move(*all), records.book().revision(), "", false, *age }), binary };
+}
+
+std::optional<page>
+watch_page(const record_path& records, milliseconds oldest_records, const page_request& request, instant now)
+{
+  const auto after = number_of(request, "after");
+  const auto wait = number_of(request, "wait");
+  if (!after || !wait || *wait > longest_wait_ms) {
+    return page{ status_bad_request, "", "text/plain" };
+  }
+  const auto age = records.age(now);
+  if (!age) {
+    return page{ status_unavailable, "", "text/plain" };
+  }
+  auto changes = records.book().since(*after);
+  if (!changes) {
+    return page{ status_gone, "", "text/plain" };
+  }
+  const bool waited = now - request.arrived >= milliseconds(static_cast<milliseconds::rep>(*wait));
+  if (changes->empty() && !waited && age->records <= oldest_records) {
+    return std::nullopt;
+  }
+  return page{ status_ok, encode_events({ std::move(*changes), records.book().revision(), *age }), binary };
+}
+
+page
+members_page(source_choice& sources, const page_request& request, instant now)
+{
+  const auto address = parse_endpoint(text_of(request, "address"));
+  const fleet_member asker{ text_of(request, "vm"), text_of(request, "domain"), address.value_or(endpoint{}) };
+  if (!address || asker.id.empty() || asker.domain.empty()) {
+    return { status_bad_request, "", "text/plain" };
+  }
+  sources.on_member(asker, now);
+  return { status_ok, encode_members(sources.members_of(asker.domain, now)), binary };
+}
+
+}
+
+std::string
+request_target(const record_call& call)
+{
+  struct visitor
+  {
+    std::string operator()(const list_call&) const { return "/records/list"; }
+    std::string operator()(const watch_call& watch) const
+    {
+      return "/records/watch?after=" + std::to_string(watch.after) + "&wait=" + std::to_string(watch.wait.count());
+    }
+  };
+  return std::visit(visitor{}, call);
+}
+
+record_answer
+read_answer(const record_call& call, const http_answer& answer)
+{
+  const bool is_watch = std::holds_alternative<watch_call>(call);
+  if (is_watch && answer.status == status_gone) {
+    return history_forgotten{};
+  }
+  if (answer.status != status_ok) {
+    return call_failed{ { error_kind::unavailable,
+                          "the other daemon answered with status " + std::to_string(answer.status) } };
+  }
+  return is_watch ? decode_events(answer.body) : decode_page(answer.body);
+}
+
+std::string
+introduction_target(const fleet_member& self)
+{
+  return "/members?vm=" + self.id + "&domain=" + self.domain + "&address=" + to_string(self.call_address);
+}
+
+void
+add_pages(page_server& server, const record_path& records, source_choice& sources, milliseconds oldest_records)
+{
+  server.add_page("/records/list", [&records](const page_request&, instant now) { return list_page(records, now); });
+  server.add_page("/records/watch", [&records, oldest_records](const page_request& request, instant now) {
+    return watch_page(records, oldest_records, request, now);
+  });
+  server.add_page("/members",
+                  [&sources](const page_request& request, instant now) { return members_page(sources, request, now); });
+}
+
+}
--- /dev/null
+++ b/programs/coltsfootlockd/carried/peer_pages.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "carried/record_path.h"
+
+#include "coltsfootlock/transport/page_server.h"
+
+#include <string>
+
+namespace coltsfootlock::peer_pages {
+
+/// The path and query of a call to another daemon.
+std::string
+request_target(const record_call& call);
+
+/// Reads another daemon's answer to `call`.
+record_answer
+read_answer(const record_call& call, const http_answer& answer);
+
+/// The path and query with which a daemon introduces itself and asks for the members of its domain.
+std::string
+introduction_target(const fleet_member& self);
+
+/// Adds the pages that other daemons read: records as a list and as changes, and the members of a domain.
+/// `oldest_records`: records beyond this age are told at once, so that the other daemon can look elsewhere.
+void
+add_pages(page_server& server, const record_path& records, source_choice& sources, milliseconds oldest_records);
+
+}
--- a/programs/coltsfootlockd/carried/record_path.cpp
+++ b/programs/coltsfootlockd/carried/record_path.cpp
@@ -1,10 +1,12 @@
 #include "carried/record_path.h"
 
+#include "carried/peer_pages.h"
+
+#include "coltsfootlock/protocol/relay_codec.h"
 #include "coltsfootlock/transport/log.h"
 #include "platform/store_api.h"
 
 #include <algorithm>
-#include <string>
 #include <utility>
 
 namespace coltsfootlock {
@@ -14,15 +16,25 @@
 /// From a store that is near to one that is hundreds of times slower.
 const std::vector<double> call_seconds = { 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5 };
 
+std::int64_t
+milliseconds_of(duration time)
+{
+  return std::chrono::duration_cast<milliseconds>(time).count();
+}
+
 }
 
 record_path::record_path(const endpoint& store,
                          const follower_settings& settings,
                          std::uint32_t seed,
+                         source_choice& sources,
                          steering_engine& engine)
-  : store_(store)
-  , exchange_(store, platform::longest_answer_bytes)
+  : settings_(settings)
+  , store_(store)
+  , store_exchange_(store, platform::longest_answer_bytes)
+  , peer_exchange_(store, platform::longest_answer_bytes)
   , follower_(settings, seed)
+  , sources_(sources)
   , engine_(engine)
   , list_seconds_(call_seconds)
 {
@@ -34,10 +46,10 @@
   if (store == store_) {
     return;
   }
-  const bool busy = exchange_.busy();
+  const bool interrupted = !peer_ && store_exchange_.busy();
   store_ = store;
-  exchange_ = http_exchange(store, platform::longest_answer_bytes);
-  if (busy) {
+  store_exchange_ = http_exchange(store, platform::longest_answer_bytes);
+  if (interrupted) {
     follower_.on_answer(call_failed{ { error_kind::stale, "the address of the store has changed" } }, call_started_);
   }
 }
@@ -45,78 +57,158 @@
 void
 record_path::add_descriptor(std::vector<pollfd>& wanted) const
 {
-  wanted.push_back({ exchange_.descriptor(), exchange_.events(), 0 });
+  wanted.push_back({ exchange().descriptor(), exchange().events(), 0 });
 }
 
 instant
 record_path::wakes_at() const
 {
-  return exchange_.busy() ? call_deadline_ : follower_.wakes_at();
+  return exchange().busy() ? call_deadline_ : follower_.wakes_at();
+}
+
+std::optional<answer_age>
+record_path::age(instant now) const
+{
+  if (!follower_.confirmed_at()) {
+    return std::nullopt;
+  }
+  return answer_age{ std::chrono::ceil<milliseconds>(now - *follower_.confirmed_at()),
+                     std::max(std::chrono::ceil<milliseconds>(follower_.settles_at() - now), milliseconds(0)) };
 }
 
 void
 record_path::advance(bool ready, instant now)
 {
-  if (ready || (exchange_.busy() && now >= call_deadline_)) {
-    if (auto result = exchange_.advance(now)) {
+  if (ready || (exchange().busy() && now >= call_deadline_)) {
+    if (auto result = exchange().advance(now)) {
       if (const auto* answer = std::get_if<http_answer>(&*result)) {
-        on_answer(platform::read_answer(call_, answer->status, answer->body), now);
+        on_answer(read_answer(*answer), now);
       } else {
         on_answer(call_failed{ std::get<error>(std::move(*result)) }, now);
       }
     }
   }
-  if (!exchange_.busy()) {
+  if (!exchange().busy()) {
     start_call(now);
   }
 }
 
+void
+record_path::choose_source(instant now)
+{
+  auto wanted = sources_.peer(now);
+  if (!wanted && follower_.failures() >= failures_before_fallback && now < store_retry_at_) {
+    wanted = sources_.fallback(now);
+  }
+  if (wanted == peer_) {
+    return;
+  }
+  write_log(log_level::info,
+            "records",
+            "source=" + (wanted ? wanted->id : std::string("store")) +
+              " revision=" + std::to_string(follower_.revision()));
+  if (wanted && (!peer_ || wanted->call_address != peer_->call_address)) {
+    peer_exchange_ = http_exchange(wanted->call_address, platform::longest_answer_bytes);
+  }
+  peer_ = std::move(wanted);
+}
+
 void
 record_path::start_call(instant now)
 {
-  const auto planned = follower_.next_call(now);
+  choose_source(now);
+  const auto planned = follower_.next_call(peer_.has_value(), now);
   if (!planned) {
     return;
   }
   call_ = planned->call;
   call_started_ = now;
   call_deadline_ = now + planned->timeout;
-  ++(std::holds_alternative<list_call>(call_) ? counters_.lists : counters_.watches);
-  exchange_.get(platform::request_target(call_), call_deadline_);
+  if (peer_) {
+    ++counters_.peer_calls;
+    exchange().get(peer_pages::request_target(call_), call_deadline_);
+    return;
+  }
+  ++(std::holds_alternative<list_call>(call_) ? counters_.store_lists : counters_.store_watches);
+  exchange().get(platform::request_target(call_), call_deadline_);
+}
+
+record_answer
+record_path::read_answer(const http_answer& answer) const
+{
+  return peer_ ? peer_pages::read_answer(call_, answer) : platform::read_answer(call_, answer.status, answer.body);
+}
+
+void
+record_path::on_peer_problem(const std::string& problem, instant now)
+{
+  ++counters_.peer_failures;
+  write_log(log_level::warning, "records", "left source=" + peer_->id + " reason=\"" + problem + "\"");
+  sources_.on_failure(peer_->id, now);
 }
 
 void
 record_path::on_answer(record_answer answer, instant now)
 {
-  if (std::holds_alternative<record_page>(answer)) {
-    list_seconds_.observe(now - call_started_);
+  const auto* failed = std::get_if<call_failed>(&answer);
+  if (peer_ && failed != nullptr) {
+    on_peer_problem(failed->why.message, now);
+    follower_.on_peer_failure();
+    return;
   }
   std::string problem;
-  if (const auto* failed = std::get_if<call_failed>(&answer)) {
-    ++counters_.failures;
+  if (failed != nullptr) {
+    ++counters_.store_failures;
+    store_retry_at_ = now + store_retry;
     problem = failed->why.message;
-  } else if (std::holds_alternative<history_forgotten>(answer)) {
-    write_log(log_level::info, "store", "forgot its history; lists all records revision=" + std::to_string(revision()));
+  }
+  if (!peer_ && std::holds_alternative<record_page>(answer)) {
+    list_seconds_.observe(now - call_started_);
+  }
+  if (std::holds_alternative<history_forgotten>(answer)) {
+    write_log(log_level::info,
+              "records",
+              "history forgotten, lists all records revision=" + std::to_string(follower_.revision()));
   }
   const auto progress = follower_.on_answer(std::move(answer), now);
   if (progress.lost) {
-    write_log(
-      log_level::warning, "store", "lost revision=" + std::to_string(revision()) + " reason=\"" + problem + "\"");
+    write_log(log_level::warning,
+              "store",
+              "lost revision=" + std::to_string(follower_.revision()) + " reason=\"" + problem + "\"");
   }
   if (progress.regained) {
-    write_log(log_level::info, "store", "regained revision=" + std::to_string(revision()));
+    write_log(log_level::info, "store", "regained revision=" + std::to_string(follower_.revision()));
+  }
+  apply(progress, now);
+  if (!peer_ || failed != nullptr) {
+    return;
+  }
+  const auto records_age = age(now);
+  if (records_age && records_age->records > settings_.oldest_peer_records) {
+    on_peer_problem("records are " + std::to_string(milliseconds_of(records_age->records)) + " ms old", now);
+  } else {
+    sources_.on_success(peer_->id);
   }
+}
+
+void
+record_path::apply(const record_follower::progress& progress, instant now)
+{
   if (progress.snapshot_begins) {
     engine_.on_snapshot_begin();
+    book_.begin_snapshot();
   }
   for (const record_change& change : progress.changes) {
     ++counters_.changes;
+    book_.apply(change);
     engine_.on_record(change, follower_.settles_at(), now);
   }
   if (progress.snapshot_complete) {
+    book_.end_snapshot(*progress.snapshot_complete);
     engine_.on_snapshot_complete(*progress.snapshot_complete, follower_.settles_at(), now);
   }
   if (follower_.confirmed_at()) {
+    book_.advance(follower_.revision());
     engine_.on_confirmed(*follower_.confirmed_at());
   }
 }
--- a/programs/coltsfootlockd/carried/record_path.h
+++ b/programs/coltsfootlockd/carried/record_path.h
@@ -2,11 +2,14 @@
 
 #include "carried/time_histogram.h"
 
+#include "coltsfootlock/coordination/steering/record_book.h"
 #include "coltsfootlock/coordination/steering/record_follower.h"
+#include "coltsfootlock/coordination/steering/source_choice.h"
 #include "coltsfootlock/coordination/steering/steering_engine.h"
 #include "coltsfootlock/transport/http_exchange.h"
 
 #include <optional>
+#include <string>
 #include <vector>
 
 #include <poll.h>
@@ -15,19 +18,26 @@
 
 struct record_counters
 {
-  std::uint64_t lists = 0;
-  std::uint64_t watches = 0;
-  std::uint64_t failures = 0;
+  std::uint64_t store_lists = 0;
+  std::uint64_t store_watches = 0;
+  std::uint64_t store_failures = 0;
+  std::uint64_t peer_calls = 0;
+  std::uint64_t peer_failures = 0;
   std::uint64_t changes = 0;
 
   auto operator<=>(const record_counters&) const = default;
 };
 
-/// Carries out the calls to the platform's store that the follower plans, and hands their results to the engine.
+/// Carries out the calls that the follower plans, to the platform's store or to another daemon, and hands their results
+/// to the engine and to the book that other daemons read.
 class record_path
 {
 public:
-  record_path(const endpoint& store, const follower_settings& settings, std::uint32_t seed, steering_engine& engine);
+  record_path(const endpoint& store,
+              const follower_settings& settings,
+              std::uint32_t seed,
+              source_choice& sources,
+              steering_engine& engine);
 
   void add_descriptor(std::vector<pollfd>& wanted) const;
 
@@ -40,23 +50,43 @@
   /// Another address of the store takes effect with the next call.
   void set_store(const endpoint& store);
 
+  /// How old the records are, for a daemon that follows this one; empty before they are known.
+  std::optional<answer_age> age(instant now) const;
+
+  const record_book& book() const { return book_; }
   std::optional<instant> confirmed_at() const { return follower_.confirmed_at(); }
-  std::uint64_t revision() const { return follower_.revision(); }
-  bool in_touch() const { return follower_.in_touch(); }
   const record_counters& counters() const { return counters_; }
   const time_histogram& list_seconds() const { return list_seconds_; }
 
 private:
+  /// A store that failed is tried again after this time while another daemon can be followed instead.
+  static constexpr milliseconds store_retry{ 3000 };
+
+  /// Failures of the store in a row after which another daemon is followed: the first one may be a lost answer.
+  static constexpr unsigned failures_before_fallback = 2;
+
+  http_exchange& exchange() { return peer_ ? peer_exchange_ : store_exchange_; }
+  const http_exchange& exchange() const { return peer_ ? peer_exchange_ : store_exchange_; }
+  void choose_source(instant now);
   void start_call(instant now);
+  record_answer read_answer(const http_answer& answer) const;
   void on_answer(record_answer answer, instant now);
+  void on_peer_problem(const std::string& problem, instant now);
+  void apply(const record_follower::progress& progress, instant now);
 
+  const follower_settings settings_;
   endpoint store_;
-  http_exchange exchange_;
+  http_exchange store_exchange_;
+  http_exchange peer_exchange_;
+  std::optional<fleet_member> peer_; ///< Where the last call went; empty for the store.
   record_follower follower_;
+  record_book book_;
+  source_choice& sources_;
   steering_engine& engine_;
   record_call call_;
   instant call_started_;
   instant call_deadline_;
+  instant store_retry_at_;
   record_counters counters_;
   time_histogram list_seconds_;
 };
