--- /dev/null
+++ b/libraries/coordination/steering/tests/test_source_choice.cpp
@@ -0,0 +1,119 @@
+#include "coltsfootlock/coordination/steering/source_choice.h"
+
+#include <map>
+#include <memory>
+#include <set>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace coltsfootlock;
+
+namespace {
+
+fleet_member
+member(int number, const std::string& domain = "a")
+{
+  return { "entry-" + std::to_string(number), domain, { 0x0a000000U + static_cast<std::uint32_t>(number), 80 } };
+}
+
+struct choice_fixture
+{
+  instant now = instant(seconds(1));
+  std::map<std::string, std::unique_ptr<source_choice>> daemons;
+
+  choice_fixture()
+  {
+    for (int number = 0; number < 28; ++number) {
+      daemons[member(number).id] = std::make_unique<source_choice>(member(number).id, "a");
+    }
+    introduce();
+  }
+
+  void introduce()
+  {
+    for (auto& [id, daemon] : daemons) {
+      for (int number = 0; number < 28; ++number) {
+        daemon->on_member(member(number), now);
+      }
+    }
+  }
+
+  /// Daemons that read the store.
+  std::set<std::string> readers() const
+  {
+    std::set<std::string> result;
+    for (const auto& [id, daemon] : daemons) {
+      if (!daemon->peer(now)) {
+        result.insert(id);
+      }
+    }
+    return result;
+  }
+};
+
+}
+
+BOOST_FIXTURE_TEST_SUITE(source_choices, choice_fixture)
+
+// Load pattern: 28 daemons of a domain, of which one is to pay for the store's calls.
+BOOST_AUTO_TEST_CASE(one_daemon_of_a_domain_reads_the_store)
+{
+  const auto reading = readers();
+  BOOST_TEST_REQUIRE(reading.size() == 1U);
+  for (const auto& [id, daemon] : daemons) {
+    if (id != *reading.begin()) {
+      BOOST_TEST(daemon->peer(now)->id == *reading.begin());
+    }
+  }
+}
+
+// Guards against a domain that is left without news when its reader dies, and against all of its daemons reading then.
+BOOST_AUTO_TEST_CASE(one_other_daemon_takes_over_from_a_reader_that_fails)
+{
+  const std::string first = *readers().begin();
+  for (auto& [id, daemon] : daemons) {
+    daemon->on_failure(first, now);
+  }
+  auto reading = readers();
+  reading.erase(first);
+  BOOST_TEST(reading.size() == 1U);
+  now += source_choice::first_exclusion + milliseconds(1);
+  BOOST_TEST((readers() == std::set<std::string>{ first }));
+}
+
+BOOST_AUTO_TEST_CASE(a_member_that_keeps_failing_is_left_out_for_longer)
+{
+  const std::string first = *readers().begin();
+  source_choice& daemon = *daemons.begin()->second;
+  for (int failures = 0; failures < 5; ++failures) {
+    daemon.on_failure(first, now);
+  }
+  now += source_choice::first_exclusion * 2;
+  BOOST_TEST((!daemon.peer(now) || daemon.peer(now)->id != first));
+}
+
+BOOST_AUTO_TEST_CASE(without_other_members_the_store_is_read)
+{
+  source_choice alone("entry-1", "a");
+  BOOST_TEST(!alone.peer(now).has_value());
+  alone.on_member(member(7, "b"), now);
+  BOOST_TEST(!alone.peer(now).has_value()); // Another domain's daemon may be cut off from this one.
+  alone.on_member(member(1), now);          // Itself.
+  BOOST_TEST(!alone.fallback(now).has_value());
+}
+
+// The reader itself has nobody before it; when the store refuses it, it follows the next daemon.
+BOOST_AUTO_TEST_CASE(a_reader_that_the_store_refuses_has_another_daemon_to_follow)
+{
+  const std::string reader = *readers().begin();
+  BOOST_TEST(!daemons[reader]->peer(now).has_value());
+  BOOST_TEST(daemons[reader]->fallback(now).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(members_that_are_not_heard_of_are_forgotten)
+{
+  now += source_choice::member_lifetime + milliseconds(1);
+  BOOST_TEST(readers().size() == daemons.size());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/libraries/protocol/tests/test_relay_codec.cpp
@@ -0,0 +1,79 @@
+#include "coltsfootlock/protocol/relay_codec.h"
+
+#include <memory>
+#include <random>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace coltsfootlock;
+
+namespace {
+
+std::vector<record_change>
+one_of_each_kind()
+{
+  target_record target;
+  target.vm.id = "t-1";
+  target.vm.domain = "a";
+  target.vm.leaving = true;
+  target.vm.target_group = "feed";
+  target.vm.packet_address = { 0x0a000001, 80 };
+  target.vm.load_address = target.vm.packet_address;
+  target.vm.incarnation = 77;
+  target.tag = 0xfedcba9876543210U;
+  target.slots = 4;
+  target.warm_up_left = milliseconds(250);
+  auto value = std::make_shared<catalogue>();
+  value->version = 9;
+  value->flow_idle_ms = 15000;
+  value->cold_starts = { { "feed", 2.5 } };
+  service entry;
+  entry.name = "feed";
+  entry.address = { 0xc6120001, 443 };
+  entry.target_group = "feed";
+  entry.urgency = service_class::bulk;
+  entry.split = { { "feed", 9 }, { "cards", 1 } };
+  value->services = { entry };
+  return { { 1, target_published{ target } },
+           { 2, target_removed{ "t-2" } },
+           { 3, target_unreadable{ "t-3", { error_kind::syntax, "no JSON" } } },
+           { 4, catalogue_published{ value } },
+           { 5, catalogue_unreadable{ { error_kind::syntax, "no JSON" } } },
+           { 6, domain_switched{ "a", false } } };
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(relay_codecs)
+
+BOOST_AUTO_TEST_CASE(answers_arrive_as_they_were_sent)
+{
+  const record_events events{ one_of_each_kind(), 12, { milliseconds(30), milliseconds(40) } };
+  BOOST_TEST((decode_events(encode_events(events)) == record_answer(events)));
+  const record_page page{ one_of_each_kind(), 12, "", false, { milliseconds(30), milliseconds(40) } };
+  BOOST_TEST((decode_page(encode_page(page)) == record_answer(page)));
+  const std::vector<fleet_member> members = { { "entry-1", "a", { 0x0a000001, 80 } } };
+  error why;
+  BOOST_TEST((decode_members(encode_members(members), why) == members));
+}
+
+// Guards against a crash or a silently shortened list on bytes of another daemon version or a broken connection.
+BOOST_AUTO_TEST_CASE(damaged_answers_are_failed_calls)
+{
+  const record_events events{ one_of_each_kind(), 12, {} };
+  const std::string bytes = encode_events(events);
+  for (std::size_t size = 0; size < bytes.size(); ++size) {
+    BOOST_TEST(std::holds_alternative<call_failed>(decode_events(bytes.substr(0, size))), size);
+  }
+  std::minstd_rand random(1);
+  for (int round = 0; round < 2000; ++round) {
+    std::string damaged = bytes;
+    damaged[random() % damaged.size()] = static_cast<char>(random());
+    decode_events(damaged); // Must not crash; a changed value cannot be told from a valid one.
+  }
+  error why;
+  BOOST_TEST(!decode_members("x", why).has_value());
+  BOOST_TEST(!why.message.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/libraries/transport/tests/test_polled_http.cpp
@@ -0,0 +1,138 @@
+#include "coltsfootlock/transport/boot_clock.h"
+#include "coltsfootlock/transport/http_exchange.h"
+#include "coltsfootlock/transport/page_server.h"
+#include "coltsfootlock/transport/udp_socket.h"
+#include "waiting_lines.h"
+
+#include <unistd.h>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace coltsfootlock;
+
+namespace {
+
+constexpr endpoint any_port{ 0x7f000001, 0 };
+
+struct http_fixture
+{
+  error why;
+  page_server server = std::move(*page_server::listen(any_port, why));
+  http_exchange client{ server.local(), 1000 };
+  std::optional<page> waiting_page;
+
+  http_fixture()
+  {
+    server.add_page("/echo", [](const page_request& request, instant) {
+      const auto found = request.query.find("text");
+      return page{ 200, found == request.query.end() ? "none" : found->second, "text/plain" };
+    });
+    server.add_page("/large", [](const page_request&, instant) { return page{ 200, std::string(2000, 'x'), "" }; });
+    server.add_page("/wait", [this](const page_request&, instant) { return waiting_page; });
+  }
+
+  /// Runs both sides until the call is over or `limit` has passed.
+  std::optional<std::variant<http_answer, error>> run(milliseconds limit)
+  {
+    const instant end = boot_clock_now() + limit;
+    while (boot_clock_now() < end) {
+      std::vector<pollfd> polled;
+      server.add_descriptors(polled);
+      const std::size_t own = polled.size();
+      polled.push_back({ client.descriptor(), client.events(), 0 });
+      ::poll(polled.data(), polled.size(), 5);
+      server.advance(std::span(polled).first(own), boot_clock_now());
+      if (auto result = client.advance(boot_clock_now())) {
+        return result;
+      }
+    }
+    return std::nullopt;
+  }
+
+  http_answer get(const std::string& target)
+  {
+    client.get(target, boot_clock_now() + seconds(10));
+    const auto result = run(seconds(10));
+    BOOST_REQUIRE(result.has_value());
+    BOOST_REQUIRE(std::holds_alternative<http_answer>(*result));
+    return std::get<http_answer>(*result);
+  }
+};
+
+}
+
+BOOST_FIXTURE_TEST_SUITE(polled_http, http_fixture)
+
+BOOST_AUTO_TEST_CASE(pages_are_served_over_one_connection)
+{
+  BOOST_TEST(get("/echo?text=first&more=1").body == "first");
+  const int descriptor = client.descriptor();
+  BOOST_TEST(get("/echo").body == "none");
+  BOOST_TEST(client.descriptor() == descriptor);
+  BOOST_TEST(get("/nowhere").status == 404);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_waits_for_its_page)
+{
+  client.get("/wait", boot_clock_now() + seconds(10));
+  BOOST_TEST(!run(milliseconds(30)).has_value());
+  waiting_page = page{ 200, "late", "text/plain" };
+  const auto result = run(seconds(10));
+  BOOST_REQUIRE(result.has_value());
+  BOOST_TEST(std::get<http_answer>(*result).body == "late");
+}
+
+// A connection can fall silent without a reset; only the deadline ends the call then.
+BOOST_AUTO_TEST_CASE(a_silent_connection_ends_at_the_deadline_and_the_next_call_uses_a_new_one)
+{
+  client.get("/wait", boot_clock_now() + milliseconds(20));
+  const auto result = run(seconds(10));
+  BOOST_REQUIRE(result.has_value());
+  BOOST_TEST(std::holds_alternative<error>(*result));
+  BOOST_TEST(!client.busy());
+  BOOST_TEST(client.descriptor() == -1);
+  BOOST_TEST(get("/echo").status == 200);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_beyond_the_limit_fails_the_call)
+{
+  client.get("/large", boot_clock_now() + seconds(10));
+  const auto result = run(seconds(10));
+  BOOST_REQUIRE(result.has_value());
+  BOOST_TEST(std::holds_alternative<error>(*result));
+}
+
+BOOST_AUTO_TEST_CASE(a_port_without_a_server_is_an_error)
+{
+  error problem;
+  const endpoint nobody = udp_socket::bind(any_port, problem)->local();
+  http_exchange call(nobody, 1000);
+  call.get("/", boot_clock_now() + seconds(1));
+  std::optional<std::variant<http_answer, error>> result;
+  const instant end = boot_clock_now() + seconds(10);
+  while (!result && boot_clock_now() < end) {
+    result = call.advance(boot_clock_now());
+  }
+  BOOST_REQUIRE(result.has_value());
+  BOOST_TEST(std::holds_alternative<error>(*result));
+}
+
+// A reader of the log that does not keep up must not hold up the daemon.
+BOOST_AUTO_TEST_CASE(lines_that_find_no_room_are_counted)
+{
+  int ends[2];
+  BOOST_REQUIRE(::pipe(ends) == 0);
+  waiting_lines lines(ends[1]);
+  const std::uint64_t before = waiting_lines::dropped();
+  const std::string line(1000, 'x');
+  for (std::size_t count = 0; count < 2 * waiting_lines::most_bytes / 1000; ++count) {
+    lines.add(line);
+  }
+  BOOST_TEST(waiting_lines::dropped() > before);
+  lines.flush(); // The pipe takes less than what waits.
+  BOOST_TEST(lines.waiting_bytes() > 0U);
+  ::close(ends[0]);
+  ::close(ends[1]);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
