Follow another domain when the store refuses a whole one; send the surplus of a domain elsewhere

A daemon that the store does not answer now follows a daemon of another domain, of which the seeds tell two for each domain. Targets of the own domain come first only up to twice an even share of flows.

Ruled out: the store's outage as such (other domains had current records).

--- a/include/coltsfootlock/coordination/steering/flow_placement.h
+++ b/include/coltsfootlock/coordination/steering/flow_placement.h
@@ -18,8 +18,9 @@
 /// A target that may get a new flow.
 struct placement_candidate
 {
-  std::size_t index = 0; ///< Chosen by the caller of `place_flow`.
-  bool own_domain = false;
+  std::size_t index = 0;   ///< Chosen by the caller of `place_flow`.
+  std::size_t domain = 0;  ///< Equal for targets of one failure domain.
+  bool own_domain = false; ///< Of the daemon's failure domain.
   target_condition condition = target_condition::serving;
   /// A first packet to it has waited for an answer for longer than a live target takes.
   bool owes_answer = false;
@@ -39,6 +40,6 @@
 /// before cold and silent ones, which would make the caller wait. Among equals the target with the fewest flows for its
 /// slots takes the flow.
 std::optional<std::size_t>
-place_flow(const std::vector<placement_candidate>& candidates);
+place_flow(std::vector<placement_candidate> candidates);
 
 }
--- a/include/coltsfootlock/coordination/steering/source_choice.h
+++ b/include/coltsfootlock/coordination/steering/source_choice.h
@@ -48,13 +48,17 @@
 
   void on_member(const fleet_member& member, instant now);
 
-  /// Members of a domain, for another daemon that asks.
-  std::vector<fleet_member> members_of(const std::string& domain, instant now) const;
+  /// Members of other domains that a daemon is told about, for when its own domain is cut off from the store.
+  static constexpr std::size_t contacts_per_domain = 2;
+
+  /// Members of a domain and contacts in the others, for a daemon of that domain that asks.
+  std::vector<fleet_member> members_for(const std::string& domain, instant now) const;
 
   /// The member to read from; empty if this daemon is to read the store.
   std::optional<fleet_member> peer(instant now) const;
 
-  /// The best member whatever this daemon's own rank, for a daemon that the store does not answer.
+  /// The best member whatever this daemon's own rank, for a daemon that the store does not answer: of its own domain,
+  /// or else of another one.
   std::optional<fleet_member> fallback(instant now) const;
 
   void on_success(const std::string& id);
@@ -74,7 +78,7 @@
     instant excluded_until;
   };
 
-  const member_state* best_member(instant now) const;
+  const member_state* best_member(bool own_domain, instant now) const;
 
   const std::string self_;
   const std::string domain_;
--- a/libraries/coordination/steering/flow_placement.cpp
+++ b/libraries/coordination/steering/flow_placement.cpp
@@ -7,6 +7,27 @@
 
 namespace {
 
+/// Targets of the own domain may hold this many times the flows of an even share before flows go to other domains.
+constexpr double most_shares = 2;
+
+/// Flows that each target of the own domain may hold in any case.
+constexpr double least_flows = 4;
+
+/// Flows of this daemon that each target of its domain holds if the domains' targets were equally many.
+double
+even_share(const std::vector<placement_candidate>& candidates)
+{
+  double flows = 0;
+  std::vector<std::size_t> domains;
+  for (const placement_candidate& candidate : candidates) {
+    flows += candidate.open_flows;
+    if (std::find(domains.begin(), domains.end(), candidate.domain) == domains.end()) {
+      domains.push_back(candidate.domain);
+    }
+  }
+  return flows * static_cast<double>(domains.size()) / static_cast<double>(candidates.size());
+}
+
 bool
 is_better(const placement_candidate& left, const placement_candidate& right)
 {
@@ -31,13 +52,16 @@
 }
 
 std::optional<std::size_t>
-place_flow(const std::vector<placement_candidate>& candidates)
+place_flow(std::vector<placement_candidate> candidates)
 {
-  const auto best = std::min_element(candidates.begin(), candidates.end(), is_better);
-  if (best == candidates.end()) {
+  if (candidates.empty()) {
     return std::nullopt;
   }
-  return best->index;
+  const double most_flows = std::max(most_shares * even_share(candidates), least_flows);
+  for (placement_candidate& candidate : candidates) {
+    candidate.own_domain = candidate.own_domain && candidate.open_flows <= most_flows;
+  }
+  return std::min_element(candidates.begin(), candidates.end(), is_better)->index;
 }
 
 }
--- a/libraries/coordination/steering/source_choice.cpp
+++ b/libraries/coordination/steering/source_choice.cpp
@@ -32,23 +32,34 @@
 }
 
 std::vector<fleet_member>
-source_choice::members_of(const std::string& domain, instant now) const
+source_choice::members_for(const std::string& domain, instant now) const
 {
-  std::vector<fleet_member> result;
+  std::vector<const member_state*> by_rank;
   for (const auto& [id, state] : members_) {
-    if (state.member.domain == domain && now - state.heard <= member_lifetime) {
-      result.push_back(state.member);
+    if (now - state.heard <= member_lifetime) {
+      by_rank.push_back(&state);
+    }
+  }
+  std::sort(by_rank.begin(), by_rank.end(), [](const member_state* left, const member_state* right) {
+    return left->rank > right->rank;
+  });
+  std::vector<fleet_member> result;
+  std::map<std::string, std::size_t> contacts;
+  for (const member_state* state : by_rank) {
+    if (state->member.domain == domain || contacts[state->member.domain]++ < contacts_per_domain) {
+      result.push_back(state->member);
     }
   }
   return result;
 }
 
 const source_choice::member_state*
-source_choice::best_member(instant now) const
+source_choice::best_member(bool own_domain, instant now) const
 {
   const member_state* best = nullptr;
   for (const auto& [id, state] : members_) {
-    if (state.member.domain != domain_ || now - state.heard > member_lifetime || state.excluded_until > now) {
+    if ((state.member.domain == domain_) != own_domain || now - state.heard > member_lifetime ||
+        state.excluded_until > now) {
       continue;
     }
     if (best == nullptr || state.rank > best->rank) {
@@ -61,14 +72,17 @@
 std::optional<fleet_member>
 source_choice::peer(instant now) const
 {
-  const member_state* best = best_member(now);
+  const member_state* best = best_member(true, now);
   return best == nullptr || best->rank <= self_rank_ ? std::nullopt : std::optional<fleet_member>(best->member);
 }
 
 std::optional<fleet_member>
 source_choice::fallback(instant now) const
 {
-  const member_state* best = best_member(now);
+  const member_state* best = best_member(true, now);
+  if (best == nullptr) {
+    best = best_member(false, now);
+  }
   return best == nullptr ? std::nullopt : std::optional<fleet_member>(best->member);
 }
 
@@ -97,7 +111,7 @@
 void
 source_choice::on_introduction(instant now)
 {
-  const bool alone = members_of(domain_, now).empty();
+  const bool alone = members_.empty();
   next_introduction_ = now + (alone ? first_introductions : introduction_interval);
 }
 
--- a/libraries/coordination/steering/steering_engine.cpp
+++ b/libraries/coordination/steering/steering_engine.cpp
@@ -4,6 +4,7 @@
 #include "coltsfootlock/coordination/steering/steering_timing.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace coltsfootlock {
@@ -272,6 +273,7 @@
     }
     const bool was_silent = target.record.vm.id == avoided;
     candidates_.push_back({ index,
+                            std::hash<std::string>{}(target.record.vm.domain),
                             target.record.vm.domain == settings_.domain,
                             was_silent ? target_condition::doubtful : *condition,
                             target.pending_opens > 0 && now - target.pending_since > steering_timing::usual_answer_time,
--- a/libraries/coordination/steering/tests/test_source_choice.cpp
+++ b/libraries/coordination/steering/tests/test_source_choice.cpp
@@ -95,11 +95,37 @@
 BOOST_AUTO_TEST_CASE(without_other_members_the_store_is_read)
 {
   source_choice alone("entry-1", "a");
+  alone.on_member(member(1), now); // Itself.
   BOOST_TEST(!alone.peer(now).has_value());
+  BOOST_TEST(!alone.fallback(now).has_value());
   alone.on_member(member(7, "b"), now);
   BOOST_TEST(!alone.peer(now).has_value()); // Another domain's daemon may be cut off from this one.
-  alone.on_member(member(1), now);          // Itself.
-  BOOST_TEST(!alone.fallback(now).has_value());
+}
+
+// Load pattern: the store refuses all daemons of a domain. They stay up to date through another domain.
+BOOST_AUTO_TEST_CASE(a_domain_that_the_store_refuses_follows_another_domain)
+{
+  source_choice daemon("entry-1", "a");
+  daemon.on_member(member(2), now);
+  daemon.on_member(member(7, "b"), now);
+  daemon.on_member(member(8, "c"), now);
+  BOOST_TEST(daemon.fallback(now)->id == "entry-2");
+  daemon.on_failure("entry-2", now);
+  const std::string first = daemon.fallback(now)->id;
+  BOOST_TEST((first == "entry-7" || first == "entry-8"));
+  daemon.on_failure(first, now);
+  BOOST_TEST(daemon.fallback(now)->id == (first == "entry-7" ? "entry-8" : "entry-7"));
+  BOOST_TEST(!daemon.peer(now).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_member_learns_of_its_domain_and_of_some_contacts_elsewhere)
+{
+  source_choice seed("entry-100", "a");
+  for (int number = 0; number < 10; ++number) {
+    seed.on_member(member(number, "a"), now);
+    seed.on_member(member(20 + number, "b"), now);
+  }
+  BOOST_TEST(seed.members_for("a", now).size() == 10 + source_choice::contacts_per_domain);
 }
 
 // The reader itself has nobody before it; when the store refuses it, it follows the next daemon.
--- a/libraries/coordination/steering/tests/test_steering_engine.cpp
+++ b/libraries/coordination/steering/tests/test_steering_engine.cpp
@@ -120,6 +120,21 @@
   }
 }
 
+// Load pattern: most targets of a domain are gone. Those that are left must not take all of the domain's flows.
+BOOST_AUTO_TEST_CASE(the_surplus_of_a_domain_with_few_targets_goes_to_other_domains)
+{
+  publish(make_target(1, "a"));
+  for (std::uint64_t tag = 2; tag <= 11; ++tag) {
+    publish(make_target(tag, tag % 2 == 0 ? "b" : "c"));
+  }
+  std::map<std::uint64_t, int> flows;
+  for (std::uint16_t port = 1; port <= 60; ++port) {
+    ++flows[establish(flow_of(port, 0x64400000U + port))];
+  }
+  BOOST_TEST(flows[1] >= 10);
+  BOOST_TEST(flows[1] <= 40);
+}
+
 BOOST_AUTO_TEST_CASE(leaving_targets_and_domains_out_of_service_get_no_new_flows)
 {
   publish(make_target(1, "a"));
--- a/programs/coltsfootlockd/carried/peer_pages.cpp
+++ b/programs/coltsfootlockd/carried/peer_pages.cpp
@@ -82,7 +82,7 @@
     return { status_bad_request, "", "text/plain" };
   }
   sources.on_member(asker, now);
-  return { status_ok, encode_members(sources.members_of(asker.domain, now)), binary };
+  return { status_ok, encode_members(sources.members_for(asker.domain, now)), binary };
 }
 
 }
