A daemon that no target answers asks for no more traffic

A daemon whose packets have had no answer from any target for 500 ms answers 503 on its ready page, so that callers are led to other domains, and asks for traffic again once its records are fresh. A target is suspected after two repeated packets without progress instead of one, since one follows the loss of a packet.

Ruled out: placement (no reachable target was left in any choice); old records (0.3 to 1.6 s).

--- a/include/coltsfootlock/coordination/steering/known_target.h
+++ b/include/coltsfootlock/coordination/steering/known_target.h
@@ -27,16 +27,17 @@
   std::uint64_t snapshot = 0; ///< The last full list that contained the record.
   bool readable = true;       ///< False after another writer replaced the record by something else.
   target_phase phase = target_phase::present;
-  instant phase_since;             ///< Start of the phase.
-  instant lapse_ends;              ///< A lapsed target is gone at this time.
-  instant warm_at;                 ///< End of the cold start.
-  instant last_progress;           ///< Last packet that shows that the target sent something.
-  instant suspected_until;         ///< Gets no new flows until then if another target can take them.
-  double cold_allowance = 0;       ///< New flows that this daemon may still open while the target is cold.
-  instant cold_allowance_at;       ///< When the allowance was computed.
-  std::uint32_t pending_opens = 0; ///< First packets that the target has not answered yet.
-  instant pending_since;           ///< Since when it owes an answer, if there are pending opens.
-  std::uint32_t open_flows = 0;    ///< Flows of this target that this daemon has seen and that have not ended.
+  instant phase_since;                ///< Start of the phase.
+  instant lapse_ends;                 ///< A lapsed target is gone at this time.
+  instant warm_at;                    ///< End of the cold start.
+  instant last_progress;              ///< Last packet that shows that the target sent something.
+  std::uint32_t repeated_packets = 0; ///< Packets with data that callers repeated since the last progress.
+  instant suspected_until;            ///< Gets no new flows until then if another target can take them.
+  double cold_allowance = 0;          ///< New flows that this daemon may still open while the target is cold.
+  instant cold_allowance_at;          ///< When the allowance was computed.
+  std::uint32_t pending_opens = 0;    ///< First packets that the target has not answered yet.
+  instant pending_since;              ///< Since when it owes an answer, if there are pending opens.
+  std::uint32_t open_flows = 0;       ///< Flows of this target that this daemon has seen and that have not ended.
 };
 
 }
--- a/include/coltsfootlock/coordination/steering/steering_engine.h
+++ b/include/coltsfootlock/coordination/steering/steering_engine.h
@@ -2,6 +2,7 @@
 
 #include "coltsfootlock/coordination/steering/flow_notes.h"
 #include "coltsfootlock/coordination/steering/flow_placement.h"
+#include "coltsfootlock/coordination/steering/isolation_watch.h"
 #include "coltsfootlock/coordination/steering/service_directory.h"
 #include "coltsfootlock/coordination/steering/steering_decision.h"
 #include "coltsfootlock/coordination/steering/steering_settings.h"
@@ -61,6 +62,9 @@
   /// True once the catalogue and the targets are known.
   bool knows_records() const { return complete_ && services_.current() != nullptr; }
 
+  /// True while no target answers; other daemons can serve the callers better.
+  bool isolated() const { return isolation_.isolated(); }
+
   const steering_counters& counters() const { return counters_; }
   std::size_t flows() const { return flows_.size(); }
   std::size_t targets() const { return targets_.size(); }
@@ -79,6 +83,7 @@
   void note_packet(const carried_packet& packet, known_target& target, instant now);
   void suspect(known_target& target, const char* evidence, instant now);
   bool is_quiet(const known_target& target, instant now) const;
+  bool records_are_fresh(instant now) const;
   void answered(flow_note& note, known_target& target, instant now);
   void forget(const flow_note& note);
   void reset_flows_of_lost_targets(instant now, std::vector<reset_flow>& resets);
@@ -93,6 +98,7 @@
   service_directory services_;
   target_directory targets_;
   flow_notes flows_;
+  isolation_watch isolation_;
   bool complete_ = false;
   std::optional<instant> confirmed_at_;
   instant last_tick_;
--- a/include/coltsfootlock/coordination/steering/steering_timing.h
+++ b/include/coltsfootlock/coordination/steering/steering_timing.h
@@ -19,6 +19,10 @@
 /// retransmission timeout of a caller (200 ms) and the round trip.
 inline constexpr milliseconds silence_before_suspicion{ 350 };
 
+/// Repeated packets without progress that make a target suspected: one may follow the loss of a packet (0.15% are
+/// lost).
+inline constexpr unsigned repeats_before_suspicion = 2;
+
 /// A suspected target may be tried again after this time; twice the time of a caller's attempt to open a flow (1.4 s),
 /// so that a caller's second attempt meets another target.
 inline constexpr milliseconds suspicion{ 2800 };
--- a/libraries/coordination/steering/steering_engine.cpp
+++ b/libraries/coordination/steering/steering_engine.cpp
@@ -249,13 +249,18 @@
   return now < target.warm_at ? target_condition::cold : target_condition::serving;
 }
 
+bool
+steering_engine::records_are_fresh(instant now) const
+{
+  return confirmed_at_ && now - *confirmed_at_ < settings_.refusal_freshness;
+}
+
 steering_decision
 steering_engine::place(const carried_packet& packet, const vm_id& avoided, instant now)
 {
   const service* wanted = services_.find(packet.flow.service);
   if (wanted == nullptr) {
-    const bool fresh = confirmed_at_ && now - *confirmed_at_ < settings_.refusal_freshness;
-    return fresh ? reset(flow_end_reason::no_service, packet, {}) : drop(drop_reason::stale_records);
+    return records_are_fresh(now) ? reset(flow_end_reason::no_service, packet, {}) : drop(drop_reason::stale_records);
   }
   const auto& targets = targets_.of_group(services_.group_for(*wanted, packet.flow));
   waited_for_.clear();
@@ -287,6 +292,7 @@
     return reset(flow_end_reason::no_target, packet, {});
   }
   known_target& target = *targets[*chosen];
+  isolation_.on_request(now);
   steering_decision decision = forward(forward_reason::placed, target);
   std::get<forward_packet>(decision).candidates = candidates_.size();
   if (flow_note* note = flows_.add(packet.flow, target.record.vm.id, now)) {
@@ -382,7 +388,12 @@
     note->sent_up_to = end;
     note->awaits_answer = true;
   }
-  if (repeats && now - std::max(target.last_progress, evidence_from_) > steering_timing::silence_before_suspicion) {
+  if (!progress && packet.payload_bytes > 0) {
+    isolation_.on_request(now);
+  }
+  target.repeated_packets += repeats ? 1 : 0;
+  if (repeats && target.repeated_packets >= steering_timing::repeats_before_suspicion &&
+      now - std::max(target.last_progress, evidence_from_) > steering_timing::silence_before_suspicion) {
     suspect(target, "suspected evidence=unanswered_data", now);
   }
   if (packet.closes && !note->closing) {
@@ -402,6 +413,8 @@
   note.awaits_answer = false;
   note.last_progress = now;
   target.last_progress = now;
+  target.repeated_packets = 0;
+  isolation_.on_progress();
   target.pending_since = now;
   target.suspected_until = instant{};
 }
@@ -454,7 +467,9 @@
 {
   if (last_tick_ == instant{} || now - last_tick_ > steering_timing::longest_round) {
     evidence_from_ = now;
+    isolation_.on_pause();
   }
+  isolation_.tick(records_are_fresh(now), now);
   last_tick_ = now;
   std::vector<reset_flow> resets;
   targets_.tick(retained_lifetimes * settings_.flow_lifetime, now);
--- /dev/null
+++ b/libraries/coordination/steering/tests/test_isolation_watch.cpp
@@ -0,0 +1,83 @@
+#include "coltsfootlock/coordination/steering/isolation_watch.h"
+#include "steering_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace coltsfootlock;
+using coltsfootlock::testing::steering_fixture;
+
+BOOST_AUTO_TEST_SUITE(isolation)
+
+BOOST_AUTO_TEST_CASE(silence_of_all_targets_shows_isolation_and_one_answer_ends_it)
+{
+  isolation_watch watch;
+  instant now(seconds(1));
+  for (int packet = 0; packet < 10; ++packet) {
+    now += milliseconds(30);
+    watch.on_request(now);
+    watch.tick(true, now);
+  }
+  BOOST_TEST(!watch.isolated());
+  now += milliseconds(300);
+  watch.tick(true, now);
+  BOOST_TEST(watch.isolated());
+  watch.on_progress();
+  BOOST_TEST(!watch.isolated());
+}
+
+BOOST_AUTO_TEST_CASE(few_packets_and_a_pause_show_nothing)
+{
+  isolation_watch watch;
+  instant now(seconds(1));
+  for (int packet = 0; packet < 4; ++packet) {
+    watch.on_request(now);
+  }
+  watch.tick(true, now + seconds(2));
+  BOOST_TEST(!watch.isolated());
+  watch.on_request(now);
+  watch.on_pause();
+  watch.tick(true, now + seconds(2));
+  BOOST_TEST(!watch.isolated());
+}
+
+// An isolated daemon gets no traffic that could show the end of its isolation.
+BOOST_AUTO_TEST_CASE(isolation_ends_with_fresh_records_or_after_a_time)
+{
+  for (const bool in_touch : { true, false }) {
+    isolation_watch watch;
+    const instant now(seconds(1));
+    for (int packet = 0; packet < 5; ++packet) {
+      watch.on_request(now);
+    }
+    watch.tick(in_touch, now + milliseconds(500));
+    BOOST_TEST(watch.isolated());
+    watch.tick(in_touch, now + milliseconds(500) + isolation_watch::shortest_isolation);
+    BOOST_TEST(watch.isolated() == !in_touch);
+    watch.tick(in_touch, now + milliseconds(500) + isolation_watch::longest_isolation);
+    BOOST_TEST(!watch.isolated());
+  }
+}
+
+// Load pattern: the own domain is out of service, and the daemon is cut off from the others. Callers retry and go
+// silent.
+BOOST_FIXTURE_TEST_CASE(a_daemon_cut_off_from_all_targets_is_isolated, steering_fixture)
+{
+  for (std::uint64_t tag = 1; tag <= 6; ++tag) {
+    publish(make_target(tag, tag <= 3 ? "a" : "b"));
+  }
+  engine.on_record({ ++revision, domain_switched{ "a", false } }, settles_at, now);
+  for (std::uint16_t port = 1; port <= 20; ++port) {
+    establish(flow_of(port, port));
+  }
+  BOOST_TEST(!engine.isolated());
+  for (std::uint16_t port = 1; port <= 20; ++port) {
+    send(flow_of(port, port), token_of_tag(4), 1, 101, 200);
+    pass(milliseconds(50));
+  }
+  BOOST_TEST(engine.isolated());
+  send(flow_of(30, 30), token_of_tag(5), 1);
+  send(flow_of(30, 30), token_of_tag(5), 2);
+  BOOST_TEST(!engine.isolated());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/programs/coltsfootlockd/carried/carried_daemon.cpp
+++ b/programs/coltsfootlockd/carried/carried_daemon.cpp
@@ -98,7 +98,7 @@
 
 private:
   page ready_page();
-  bool is_ready() const { return engine_.knows_records() && !leaving_since_; }
+  bool is_ready() const { return engine_.knows_records() && !engine_.isolated() && !leaving_since_; }
   bool may_leave(instant now) const;
   int wait_time(instant now) const;
   void wait_and_handle();
@@ -237,7 +237,11 @@
   }
   if (is_ready() != was_ready_) {
     was_ready_ = is_ready();
-    write_log(log_level::info, "daemon", was_ready_ ? "ready" : "not ready");
+    write_log(log_level::info,
+              "daemon",
+              was_ready_ ? "ready"
+                         : std::string("not ready reason=") +
+                             (leaving_since_ ? "leaving" : (engine_.isolated() ? "isolated" : "no_records")));
   }
 }
 
