Check targets that owe answers; reset the flows of dead ones before their records expire

A target of the own domain that owes an answer for 350 ms gets a connection attempt: a rejected one, or two silent ones while other targets answer, show that its process is gone. Its flows are reset, except those that wait for work that must not be repeated.

Ruled out: packets alone (a daemon at the grown sites has one flow per target, too thin evidence).

--- a/include/coltsfootlock/coordination/steering/known_target.h
+++ b/include/coltsfootlock/coordination/steering/known_target.h
@@ -31,6 +31,12 @@
   instant lapse_ends;                 ///< A lapsed target is gone at this time.
   instant warm_at;                    ///< End of the cold start.
   instant last_progress;              ///< Last packet that shows that the target sent something.
+  std::uint32_t awaiting_flows = 0;   ///< Flows on which a caller waits for an answer, opens included.
+  instant awaiting_since;             ///< Since when nothing has come from it although a caller waits.
+  bool check_running = false;         ///< A reachability check is under way.
+  instant next_check;                 ///< No check before this time.
+  unsigned silent_checks = 0;         ///< Checks without an answer since the last sign of life.
+  bool dead = false;                  ///< Checks showed that the process is not there; until the next sign of life.
   std::uint32_t repeated_packets = 0; ///< Packets with data that callers repeated since the last progress.
   instant suspected_until;            ///< Gets no new flows until then if another target can take them.
   double cold_allowance = 0;          ///< New flows that this daemon may still open while the target is cold.
--- a/include/coltsfootlock/coordination/steering/steering_decision.h
+++ b/include/coltsfootlock/coordination/steering/steering_decision.h
@@ -25,6 +25,7 @@
   no_target,        ///< The service has no target that may take new flows.
   target_gone,      ///< The flow's target is gone.
   target_restarted, ///< The flow's target has started anew and no longer knows the flow.
+  target_dead       ///< Checks showed that the flow's target is not there.
 };
 
 enum class drop_reason : std::uint8_t
@@ -36,7 +37,7 @@
 };
 
 inline constexpr std::size_t forward_reason_count = 4;
-inline constexpr std::size_t flow_end_reason_count = 4;
+inline constexpr std::size_t flow_end_reason_count = 5;
 inline constexpr std::size_t drop_reason_count = 4;
 
 const char*
--- a/include/coltsfootlock/coordination/steering/steering_engine.h
+++ b/include/coltsfootlock/coordination/steering/steering_engine.h
@@ -3,6 +3,7 @@
 #include "coltsfootlock/coordination/steering/flow_notes.h"
 #include "coltsfootlock/coordination/steering/flow_placement.h"
 #include "coltsfootlock/coordination/steering/isolation_watch.h"
+#include "coltsfootlock/coordination/steering/reachability_check.h"
 #include "coltsfootlock/coordination/steering/service_directory.h"
 #include "coltsfootlock/coordination/steering/steering_decision.h"
 #include "coltsfootlock/coordination/steering/steering_settings.h"
@@ -23,6 +24,7 @@
   std::array<std::uint64_t, flow_end_reason_count> resets{};
   std::array<std::uint64_t, drop_reason_count> dropped{};
   std::uint64_t suspicions = 0;
+  std::uint64_t checks = 0;
 
   auto operator<=>(const steering_counters&) const = default;
 };
@@ -56,6 +58,10 @@
   /// To be called every `steering_timing::tick_interval`. Returns the flows to reset.
   std::vector<reset_flow> tick(instant now);
 
+  /// Targets to check now; each result goes to `on_check`.
+  std::vector<reachability_check> take_checks(instant now);
+  void on_check(const vm_id& target, check_outcome outcome, instant now);
+
   /// Settings that can change while the daemon runs.
   void set_settings(const steering_settings& settings) { settings_ = settings; }
 
@@ -86,6 +92,8 @@
   bool records_are_fresh(instant now) const;
   void answered(flow_note& note, known_target& target, instant now);
   void forget(const flow_note& note);
+  void await_answer(known_target& target, instant now);
+  bool may_end(const flow_key& key, const flow_note& note) const;
   void reset_flows_of_lost_targets(instant now, std::vector<reset_flow>& resets);
   void forget_idle_flows(instant now);
   void report(const char* part, std::string message);
@@ -102,6 +110,8 @@
   bool complete_ = false;
   std::optional<instant> confirmed_at_;
   instant last_tick_;
+  instant last_domain_progress_; ///< Of any target of the own domain.
+  bool found_dead_ = false;      ///< Since the last tick.
   instant next_expiry_;
   instant evidence_from_; ///< What was not seen before this time proves nothing: start, or the last pause.
   std::uint64_t self_hash_ = 0;
--- a/include/coltsfootlock/coordination/steering/steering_timing.h
+++ b/include/coltsfootlock/coordination/steering/steering_timing.h
@@ -34,6 +34,21 @@
 /// Rounds of `steering_engine::tick`: how late a reset may follow its cause.
 inline constexpr milliseconds tick_interval{ 100 };
 
+/// A target that owes an answer for this long is checked: longer than nearly all requests run (p99 250 ms).
+inline constexpr milliseconds answer_before_check{ 350 };
+
+/// A check without an answer for this long is over; a connection inside a domain takes less than 1 ms.
+inline constexpr milliseconds check_timeout{ 300 };
+
+/// Checks in a row without an answer that show a dead target: one may be the loss of a packet.
+inline constexpr unsigned silent_checks_of_dead_target = 2;
+
+/// Pause after a check that was answered.
+inline constexpr milliseconds check_interval{ 1000 };
+
+/// Other targets of the domain must have answered this recently, or the silence may be this daemon's own.
+inline constexpr milliseconds recent_progress{ 300 };
+
 /// How often flows without packets are looked for.
 inline constexpr milliseconds expiry_interval{ 1000 };
 
--- a/include/coltsfootlock/state/service.h
+++ b/include/coltsfootlock/state/service.h
@@ -54,7 +54,8 @@
   target_limits limits;
   std::uint32_t request_timeout_ms = 2000; ///< Longest run time of one request at a target.
   std::uint32_t queue_limit = 256;         ///< Requests that may wait per daemon.
-  std::vector<group_weight> split;         ///< Divides the new flows among groups; if empty, target_group takes all.
+  bool idempotent = false;                 ///< Callers may repeat all requests of the service.
+  std::vector<group_weight> split = {};    ///< Divides the new flows among groups; if empty, target_group takes all.
 
   auto operator<=>(const service&) const = default;
 };
--- /dev/null
+++ b/include/coltsfootlock/transport/connection_attempt.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "coltsfootlock/state/endpoint.h"
+
+#include <cstdint>
+
+namespace coltsfootlock {
+
+/// Tries to open a TCP connection and closes it again. Does not block.
+class connection_attempt
+{
+public:
+  enum class progress : std::uint8_t
+  {
+    waiting,
+    connected,
+    refused, ///< The server's VM rejected the connection.
+    failed,  ///< This VM cannot make the attempt, or the network reported another problem.
+  };
+
+  /// An attempt that has failed.
+  connection_attempt() = default;
+  explicit connection_attempt(const endpoint& server);
+  connection_attempt(connection_attempt&& other) noexcept;
+  connection_attempt& operator=(connection_attempt&& other) noexcept;
+  connection_attempt(const connection_attempt&) = delete;
+  connection_attempt& operator=(const connection_attempt&) = delete;
+  ~connection_attempt();
+
+  bool is_open() const { return descriptor_ >= 0; }
+
+  /// For poll(), with POLLOUT; -1 if the attempt is over.
+  int descriptor() const { return descriptor_; }
+
+  /// To be asked when the descriptor is ready.
+  progress state() const;
+
+private:
+  int descriptor_ = -1;
+  progress failure_ = progress::failed; ///< The state without a descriptor.
+};
+
+}
--- a/libraries/coordination/steering/steering_decision.cpp
+++ b/libraries/coordination/steering/steering_decision.cpp
@@ -1,5 +1,7 @@
 #include "coltsfootlock/coordination/steering/steering_decision.h"
 
+#include "coltsfootlock/coordination/steering/reachability_check.h"
+
 namespace coltsfootlock {
 
 const char*
@@ -30,6 +32,22 @@
       return "target_gone";
     case flow_end_reason::target_restarted:
       return "target_restarted";
+    case flow_end_reason::target_dead:
+      return "target_dead";
+  }
+  return "unknown";
+}
+
+const char*
+to_string(check_outcome value)
+{
+  switch (value) {
+    case check_outcome::accepted:
+      return "accepted";
+    case check_outcome::refused:
+      return "refused";
+    case check_outcome::silent:
+      return "silent";
   }
   return "unknown";
 }
--- a/libraries/coordination/steering/steering_engine.cpp
+++ b/libraries/coordination/steering/steering_engine.cpp
@@ -300,6 +300,7 @@
     if (target.pending_opens++ == 0) {
       target.pending_since = now;
     }
+    await_answer(target, now);
     note->sent_up_to = packet.sequence;
   }
   return decision;
@@ -386,7 +387,10 @@
   }
   if (is_after(end, note->sent_up_to)) {
     note->sent_up_to = end;
-    note->awaits_answer = true;
+    if (packet.payload_bytes > 0 && !note->awaits_answer) {
+      note->awaits_answer = true;
+      await_answer(target, now);
+    }
   }
   if (!progress && packet.payload_bytes > 0) {
     isolation_.on_request(now);
@@ -409,11 +413,20 @@
   if (!note.answered && target.pending_opens > 0) {
     --target.pending_opens;
   }
+  if ((!note.answered || note.awaits_answer) && target.awaiting_flows > 0) {
+    --target.awaiting_flows;
+  }
   note.answered = true;
   note.awaits_answer = false;
   note.last_progress = now;
   target.last_progress = now;
   target.repeated_packets = 0;
+  target.awaiting_since = now;
+  target.silent_checks = 0;
+  target.dead = false;
+  if (target.record.vm.domain == settings_.domain) {
+    last_domain_progress_ = now;
+  }
   isolation_.on_progress();
   target.pending_since = now;
   target.suspected_until = instant{};
@@ -433,6 +446,79 @@
   if (!note.answered && target->pending_opens > 0) {
     --target->pending_opens;
   }
+  if ((!note.answered || note.awaits_answer) && target->awaiting_flows > 0) {
+    --target->awaiting_flows;
+  }
+}
+
+void
+steering_engine::await_answer(known_target& target, instant now)
+{
+  if (target.awaiting_flows++ == 0) {
+    target.awaiting_since = now;
+  }
+}
+
+/// Load pattern: a target falls silent. Callers whose packets it has taken wait without sending anything, and its
+/// record stays for three heartbeats, longer than many callers have. Whether its process is there is asked only where a
+/// target owes an answer for longer than usual, and only in the own domain, where silence cannot come from a cut
+/// between domains.
+std::vector<reachability_check>
+steering_engine::take_checks(instant now)
+{
+  std::vector<reachability_check> checks;
+  targets_.for_each([&](known_target& target) {
+    const bool due = target.awaiting_flows > 0 &&
+                     now - std::max(target.awaiting_since, evidence_from_) > steering_timing::answer_before_check;
+    if (!due || target.check_running || target.dead || now < target.next_check ||
+        target.phase != target_phase::present || target.record.vm.domain != settings_.domain) {
+      return;
+    }
+    target.check_running = true;
+    ++counters_.checks;
+    checks.push_back({ target.record.vm.id, target.record.vm.load_address });
+  });
+  return checks;
+}
+
+void
+steering_engine::on_check(const vm_id& id, check_outcome outcome, instant now)
+{
+  known_target* target = targets_.find(id);
+  if (target == nullptr || !target->check_running) {
+    return;
+  }
+  target->check_running = false;
+  if (outcome == check_outcome::accepted) {
+    target->silent_checks = 0;
+    target->next_check = now + steering_timing::check_interval;
+    return;
+  }
+  if (outcome == check_outcome::silent) {
+    ++target->silent_checks;
+    suspect(*target, "suspected evidence=silent_check", now);
+  }
+  const bool waits = target->awaiting_flows > 0;
+  const bool others_answer = now - last_domain_progress_ < steering_timing::recent_progress &&
+                             last_domain_progress_ > std::max(target->awaiting_since, evidence_from_);
+  const bool gone_silent = target->silent_checks >= steering_timing::silent_checks_of_dead_target && others_answer;
+  if (waits && (outcome == check_outcome::refused || gone_silent)) {
+    target->dead = true;
+    target->suspected_until = now + 2 * steering_timing::suspicion;
+    found_dead_ = true;
+    report_target(*target, (std::string("dead evidence=") + to_string(outcome) + "_check").c_str(), now);
+  }
+}
+
+/// A caller that waits for something that it must not repeat loses nothing by waiting on.
+bool
+steering_engine::may_end(const flow_key& key, const flow_note& note) const
+{
+  if (!note.answered || !note.awaits_answer) {
+    return true;
+  }
+  const service* wanted = services_.find(key.service);
+  return wanted != nullptr && wanted->idempotent;
 }
 
 /// Load pattern: a target dies while callers wait for its answers. They send nothing, so no packet asks; they are told
@@ -449,10 +535,13 @@
     const bool gone = target->phase == target_phase::gone && is_quiet(*target, now);
     const bool started_anew = std::find(restarted.begin(), restarted.end(), note.target) != restarted.end() &&
                               now - std::max(note.last_progress, note.opened) > settings_.target_heartbeat;
-    if (!gone && !started_anew) {
+    const bool dead = target->dead && may_end(key, note);
+    if (!gone && !started_anew && !dead) {
       return false;
     }
-    const flow_end_reason reason = gone ? flow_end_reason::target_gone : flow_end_reason::target_restarted;
+    const flow_end_reason reason = gone           ? flow_end_reason::target_gone
+                                   : started_anew ? flow_end_reason::target_restarted
+                                                  : flow_end_reason::target_dead;
     forget(note);
     if (!note.closing) {
       ++counters_.resets[static_cast<std::size_t>(reason)];
@@ -473,7 +562,7 @@
   last_tick_ = now;
   std::vector<reset_flow> resets;
   targets_.tick(retained_lifetimes * settings_.flow_lifetime, now);
-  bool lost = !restarted_.empty();
+  bool lost = !restarted_.empty() || std::exchange(found_dead_, false);
   targets_.for_each([&](const known_target& target) {
     lost = lost || (target.phase == target_phase::gone && target.open_flows > 0 && is_quiet(target, now));
   });
--- /dev/null
+++ b/libraries/coordination/steering/tests/test_target_checks.cpp
@@ -0,0 +1,154 @@
+#include "steering_fixture.h"
+
+#include <set>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace coltsfootlock;
+using coltsfootlock::testing::steering_fixture;
+
+namespace {
+
+/// Two targets with two established flows each; the callers of flows 1 and 2 wait for answers of target 1.
+struct check_fixture : steering_fixture
+{
+  std::vector<flow_key> flows_of_one;
+  flow_key flow_of_two;
+
+  check_fixture()
+  {
+    service claims = make_service({ 0xc6120001, 80 }, "feed");
+    service feeds = make_service(feed, "feed");
+    feeds.idempotent = true;
+    publish_catalogue(2, { feeds, claims });
+    publish(make_target(1, "a"));
+    publish(make_target(2, "a"));
+    for (std::uint16_t port = 1; flows_of_one.size() < 2 || flow_of_two.caller.port == 0; ++port) {
+      const flow_key flow = flow_of(port, port);
+      if (establish(flow) == 1) {
+        flows_of_one.push_back(flow);
+      } else {
+        flow_of_two = flow;
+      }
+    }
+    send(flows_of_one[0], token_of_tag(1), 1, 101, 200);
+  }
+
+  /// Lets time pass while target 2 answers.
+  std::vector<reset_flow> pass_with_progress(milliseconds time)
+  {
+    std::vector<reset_flow> resets;
+    for (milliseconds passed{ 0 }; passed < time; passed += milliseconds(50)) {
+      send(flow_of_two, token_of_tag(2), ++position);
+      const auto more = pass(milliseconds(50));
+      resets.insert(resets.end(), more.begin(), more.end());
+    }
+    return resets;
+  }
+
+  std::uint32_t position = 1;
+};
+
+std::set<std::string>
+targets_of(const std::vector<reachability_check>& checks)
+{
+  std::set<std::string> result;
+  for (const reachability_check& check : checks) {
+    result.insert(check.target);
+  }
+  return result;
+}
+
+}
+
+BOOST_FIXTURE_TEST_SUITE(target_checking, check_fixture)
+
+BOOST_AUTO_TEST_CASE(only_targets_that_owe_answers_are_checked)
+{
+  BOOST_TEST(engine.take_checks(now).empty());
+  pass_with_progress(milliseconds(400));
+  BOOST_TEST((targets_of(engine.take_checks(now)) == std::set<std::string>{ "t-1" }));
+  BOOST_TEST(engine.take_checks(now).empty()); // One at a time.
+  engine.on_check("t-1", check_outcome::accepted, now);
+  BOOST_TEST(engine.take_checks(now).empty()); // Not again at once.
+  send(flows_of_one[0], token_of_tag(1), 2);
+  pass_with_progress(milliseconds(1500));
+  BOOST_TEST(engine.take_checks(now).empty());
+}
+
+// Load pattern: a target crashes, and callers that sent everything wait in silence. Its VM rejects a connection.
+BOOST_AUTO_TEST_CASE(flows_of_a_target_whose_process_is_gone_are_reset_before_its_record_expires)
+{
+  pass_with_progress(milliseconds(400));
+  engine.take_checks(now);
+  engine.on_check("t-1", check_outcome::refused, now);
+  const auto resets = pass(milliseconds(50));
+  BOOST_TEST(resets.size() == flows_of_one.size());
+  for (const reset_flow& reset : resets) {
+    BOOST_TEST((reset.reason == flow_end_reason::target_dead));
+    BOOST_TEST(reset.target == "t-1");
+  }
+  BOOST_TEST(tag_of(open(flow_of(100, 100))) == 2U);
+}
+
+// A caller that waits for something that it must not repeat keeps its flow; one that does not wait can open another.
+BOOST_AUTO_TEST_CASE(a_flow_that_waits_for_work_that_must_not_be_repeated_is_kept)
+{
+  const flow_key claim{ { 77, 77 }, { 0xc6120001, 80 } };
+  send(claim, token_of_tag(1), 1, 101, 0);
+  send(claim, token_of_tag(1), 1, 101, 200);
+  pass_with_progress(milliseconds(400));
+  engine.take_checks(now);
+  engine.on_check("t-1", check_outcome::refused, now);
+  for (const reset_flow& reset : pass(milliseconds(50))) {
+    BOOST_TEST((reset.flow != claim));
+  }
+  BOOST_TEST(tag_of(send(claim, token_of_tag(1), 2)) == 1U);
+}
+
+// One silent check may be the loss of a packet, and silence of all targets may be this daemon's own.
+BOOST_AUTO_TEST_CASE(silence_is_believed_only_twice_and_beside_targets_that_answer)
+{
+  pass_with_progress(milliseconds(400));
+  engine.take_checks(now);
+  engine.on_check("t-1", check_outcome::silent, now);
+  BOOST_TEST(pass_with_progress(milliseconds(300)).empty());
+  BOOST_TEST(targets_of(engine.take_checks(now)).contains("t-1"));
+  engine.on_check("t-1", check_outcome::silent, now);
+  BOOST_TEST(pass(milliseconds(50)).size() == flows_of_one.size());
+}
+
+BOOST_AUTO_TEST_CASE(silence_of_all_targets_ends_no_flow)
+{
+  pass(milliseconds(800));
+  for (int check = 0; check < 4; ++check) {
+    engine.take_checks(now);
+    engine.on_check("t-1", check_outcome::silent, now);
+    BOOST_TEST(pass(milliseconds(400)).empty());
+  }
+}
+
+// Silence from another domain may be a cut between the domains, behind which the target works on.
+BOOST_AUTO_TEST_CASE(targets_of_other_domains_are_not_checked)
+{
+  publish(make_target(3, "b"));
+  const flow_key flow = flow_of(50, 50);
+  send(flow, token_of_tag(3), 1);
+  send(flow, token_of_tag(3), 1, 101, 200);
+  pass_with_progress(milliseconds(400));
+  BOOST_TEST(!targets_of(engine.take_checks(now)).contains("t-3"));
+}
+
+BOOST_AUTO_TEST_CASE(a_target_that_answers_after_all_is_alive)
+{
+  pass_with_progress(milliseconds(400));
+  engine.take_checks(now);
+  engine.on_check("t-1", check_outcome::silent, now);
+  send(flows_of_one[1], token_of_tag(1), 2);
+  pass_with_progress(milliseconds(400));
+  engine.take_checks(now);
+  engine.on_check("t-1", check_outcome::silent, now);
+  BOOST_TEST(pass(milliseconds(50)).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libraries/protocol/relay_codec.cpp
+++ b/libraries/protocol/relay_codec.cpp
@@ -47,6 +47,7 @@
            { "group", value.target_group },
            { "class", static_cast<unsigned>(value.urgency) },
            { "timeout_ms", value.request_timeout_ms },
+           { "idempotent", value.idempotent },
            { "split", std::move(split) } };
 }
 
@@ -59,6 +60,7 @@
   result.target_group = fields.text("group", longest_text);
   result.urgency = static_cast<service_class>(fields.small_number("class", 0, service_class_count - 1));
   result.request_timeout_ms = fields.small_number("timeout_ms", 0, largest_small_number);
+  result.idempotent = fields.flag("idempotent");
   fields.each("split", most_elements, [&result](json_fields& part) {
     result.split.push_back({ part.text("group", longest_text), part.small_number("weight", 0, largest_small_number) });
   });
--- a/libraries/protocol/tests/test_relay_codec.cpp
+++ b/libraries/protocol/tests/test_relay_codec.cpp
@@ -32,6 +32,7 @@
   entry.address = { 0xc6120001, 443 };
   entry.target_group = "feed";
   entry.urgency = service_class::bulk;
+  entry.idempotent = true;
   entry.split = { { "feed", 9 }, { "cards", 1 } };
   value->services = { entry };
   return { { 1, target_published{ target } },
--- a/libraries/transport/tests/test_polled_http.cpp
+++ b/libraries/transport/tests/test_polled_http.cpp
@@ -1,4 +1,5 @@
 #include "coltsfootlock/transport/boot_clock.h"
+#include "coltsfootlock/transport/connection_attempt.h"
 #include "coltsfootlock/transport/http_exchange.h"
 #include "coltsfootlock/transport/page_server.h"
 #include "coltsfootlock/transport/udp_socket.h"
@@ -117,6 +118,21 @@
   BOOST_TEST(std::holds_alternative<error>(*result));
 }
 
+BOOST_AUTO_TEST_CASE(a_connection_attempt_tells_a_server_from_a_rejection)
+{
+  const auto outcome_of = [](const endpoint& address) {
+    connection_attempt attempt(address);
+    pollfd writable{ attempt.descriptor(), POLLOUT, 0 };
+    ::poll(&writable, 1, 5000);
+    return attempt.state();
+  };
+  error problem;
+  const endpoint nobody = udp_socket::bind(any_port, problem)->local();
+  BOOST_TEST((outcome_of(server.local()) == connection_attempt::progress::connected));
+  BOOST_TEST((outcome_of(nobody) == connection_attempt::progress::refused));
+  BOOST_TEST((connection_attempt().state() == connection_attempt::progress::failed));
+}
+
 // A reader of the log that does not keep up must not hold up the daemon.
 BOOST_AUTO_TEST_CASE(lines_that_find_no_room_are_counted)
 {
--- a/programs/coltsfootlockd/carried/carried_daemon.cpp
+++ b/programs/coltsfootlockd/carried/carried_daemon.cpp
@@ -6,6 +6,7 @@
 #include "carried/packet_path.h"
 #include "carried/peer_pages.h"
 #include "carried/record_path.h"
+#include "carried/target_checks.h"
 #include "command_line.h"
 #include "exit_codes.h"
 
@@ -114,6 +115,7 @@
   record_path records_;
   std::optional<introductions> introductions_;
   std::optional<page_server> peer_server_;
+  target_checks checks_;
   page_server ready_server_;
   std::optional<page_server> metrics_server_;
   std::vector<pollfd> descriptors_;
@@ -189,6 +191,8 @@
   if (introductions_) {
     introductions_->add_descriptor(descriptors_);
   }
+  const std::size_t check_group = begin_group();
+  checks_.add_descriptors(descriptors_);
   const std::size_t ready_group = begin_group();
   ready_server_.add_descriptors(descriptors_);
   const std::size_t metrics_group = begin_group();
@@ -218,8 +222,9 @@
   const std::uint64_t revision = records_.book().revision();
   records_.advance(any_ready(group(record_group, introduction_group)), now_);
   if (introductions_) {
-    introductions_->advance(any_ready(group(introduction_group, ready_group)), now_);
+    introductions_->advance(any_ready(group(introduction_group, check_group)), now_);
   }
+  checks_.advance(group(check_group, ready_group), engine_, now_);
   serve(ready_server_, group(ready_group, metrics_group), false);
   if (metrics_server_) {
     serve(*metrics_server_, group(metrics_group, peer_group), false);
@@ -293,6 +298,7 @@
   if (now >= next_tick_) {
     next_tick_ = now + steering_timing::tick_interval;
     packets_.send_resets(engine_.tick(now), now);
+    checks_.start(engine_.take_checks(now), now);
   }
   log_beliefs();
   if (now >= next_log_) {
