--- /dev/null
+++ b/tests/soak/soak_run.cpp
@@ -0,0 +1,502 @@
+#include "soak_run.h"
+
+#include "coltsfootlock/transport/boot_clock.h"
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <fstream>
+#include <stdexcept>
+#include <utility>
+
+#include <unistd.h>
+
+namespace coltsfootlock::soak {
+
+namespace {
+
+constexpr std::array<const char*, 3> domains = { "a", "b", "c" };
+constexpr int daemons_per_domain = 2;
+constexpr int targets_per_domain = 3;
+constexpr int callers_per_domain = 2;
+
+constexpr std::uint16_t packet_port = 7000;
+constexpr std::uint16_t ready_port = 7001;
+constexpr std::uint16_t call_port = 7002;
+constexpr std::uint16_t store_port = 7100;
+constexpr std::uint16_t target_port = 8000;
+
+constexpr milliseconds heartbeat{ 770 };
+constexpr milliseconds contact{ 4000 };     ///< A promise with a time holds for daemons undisturbed for this long.
+constexpr milliseconds drain_bound{ 3000 }; ///< A leaving target gets no new flows after this time.
+constexpr milliseconds withdrawal_bound{ 5000 };
+constexpr milliseconds warm_up{ 2000 };       ///< Before the first fault.
+constexpr milliseconds calm{ 5500 };          ///< At the end, without faults.
+constexpr milliseconds settle{ 3000 };        ///< Of the calm time, before requests have to be served.
+constexpr milliseconds last_requests{ 1500 }; ///< Before the end, no new requests.
+constexpr double served_in_calm = 0.99;
+
+const endpoint feed{ 0xc6120001, 443 };
+const endpoint claims{ 0xc6120001, 80 };
+
+}
+
+soak_run::soak_run(const soak_options& options)
+  : options_(options)
+  , random_(options.seed)
+  , now_(boot_clock_now())
+  , started_(now_)
+{
+  error why;
+  soak_target::runs().clear();
+  store_server_ = page_server::listen(address(0, 1, store_port), why);
+  router_ = udp_socket::bind(address(0, 2, packet_port), why);
+  if (!store_server_ || !router_) {
+    throw std::runtime_error(why.message);
+  }
+  store_.add_pages(*store_server_);
+  publish_catalogue();
+  for (const char* domain : domains) {
+    for (int count = 0; count < targets_per_domain; ++count) {
+      add_target(domain);
+    }
+  }
+  add_daemons();
+  std::uint8_t number = 1;
+  for (const char* domain : domains) {
+    for (int count = 0; count < callers_per_domain; ++count, ++number) {
+      callers_.push_back(std::make_unique<soak_caller>(
+        address(3, number, packet_port),
+        feed,
+        claims,
+        "c" + std::to_string(number),
+        [this, domain](const flow_key& flow, const std::string& bytes) { route(domain, flow, bytes); },
+        [this](const flow_key& flow) { check_reset(flow); }));
+    }
+  }
+}
+
+endpoint
+soak_run::address(std::uint8_t group, std::uint8_t number, std::uint16_t port) const
+{
+  return { (127U << 24U) | (static_cast<std::uint32_t>(options_.network) << 16U) |
+             (static_cast<std::uint32_t>(group) << 8U) | number,
+           port };
+}
+
+std::size_t
+soak_run::pick(std::size_t count)
+{
+  return std::uniform_int_distribution<std::size_t>(0, count - 1)(random_);
+}
+
+void
+soak_run::note(const std::string& text)
+{
+  history_ += std::to_string(std::chrono::duration_cast<milliseconds>(now_ - started_).count()) + " ms " + text + "\n";
+}
+
+void
+soak_run::add_daemons()
+{
+  std::string seeds;
+  for (std::uint8_t number = 1; number <= domains.size(); ++number) {
+    seeds += (seeds.empty() ? "" : ",") + to_string(address(1, number, call_port));
+  }
+  std::uint8_t number = 1;
+  for (int count = 0; count < daemons_per_domain; ++count) {
+    for (const char* domain : domains) {
+      auto daemon = std::make_unique<daemon_state>();
+      const std::string name = std::string(domain) + "-" + std::to_string(count + 1);
+      const endpoint proxy = address(0, static_cast<std::uint8_t>(10 + number), store_port);
+      daemon->domain = domain;
+      daemon->packets = address(1, number, packet_port);
+      daemon->proxy = std::make_unique<tcp_proxy>(proxy, store_server_->local());
+      const std::string settings = options_.directory + "/" + name + ".settings";
+      std::ofstream(settings) << "flow-routing = carried\nvm-id = " << name << "\ndomain = " << domain
+                              << "\npacket-address = " << to_string(daemon->packets)
+                              << "\nready-address = " << to_string(address(1, number, ready_port))
+                              << "\ncall-address = " << to_string(address(1, number, call_port))
+                              << "\nseeds = " << seeds << "\nplatform = " << to_string(proxy)
+                              << "\ntarget-heartbeat = " << heartbeat.count() << "\n";
+      daemon->process = std::make_unique<child_process>(
+        std::vector<std::string>{ options_.daemon, "--config", settings }, options_.directory + "/" + name + ".log");
+      daemon->ready_call = std::make_unique<http_exchange>(address(1, number, ready_port), 1000);
+      daemon->process->start();
+      daemons_.push_back(std::move(daemon));
+      ++number;
+    }
+  }
+}
+
+void
+soak_run::add_target(const std::string& domain)
+{
+  target_record record;
+  const std::uint8_t number = next_target_++;
+  record.tag = (0x5eedULL << 24U) + number;
+  char digits[32];
+  std::snprintf(digits, sizeof(digits), "t-%llx", static_cast<unsigned long long>(record.tag));
+  record.vm.id = digits;
+  record.vm.domain = domain;
+  record.vm.target_group = "shops";
+  record.vm.packet_address = address(2, number, target_port);
+  record.vm.load_address = record.vm.packet_address;
+  record.vm.incarnation = 1000 + number;
+  record.slots = 4;
+  store_.publish_target(record);
+  targets_.push_back(std::make_unique<soak_target>(record, packet_port, promises_));
+}
+
+void
+soak_run::publish_catalogue()
+{
+  catalogue value;
+  value.version = ++catalogue_version_;
+  value.flow_idle_ms = 15000;
+  const auto add = [&value](const std::string& name, const endpoint& address, bool idempotent) {
+    service entry;
+    entry.name = name;
+    entry.address = address;
+    entry.target_group = "shops";
+    entry.idempotent = idempotent;
+    value.services.push_back(std::move(entry));
+  };
+  add("feed", feed, true);
+  add("claims", claims, false);
+  for (std::uint64_t idle = 0; idle < catalogue_version_; ++idle) {
+    add("idle-" + std::to_string(idle), { feed.address, static_cast<std::uint16_t>(2000 + idle) }, true);
+  }
+  store_.publish_catalogue(value);
+}
+
+void
+soak_run::at(milliseconds after, std::function<void()> action)
+{
+  actions_.emplace(now_ + after, std::move(action));
+}
+
+void
+soak_run::disturb(daemon_state& daemon, milliseconds time)
+{
+  daemon.disturbed_until = std::max(daemon.disturbed_until, now_ + time);
+}
+
+void
+soak_run::fault_daemon()
+{
+  daemon_state& daemon = *daemons_[pick(daemons_.size())];
+  if (!daemon.process->running() || daemon.end_expected) {
+    return;
+  }
+  const milliseconds time(300 + static_cast<milliseconds::rep>(pick(2200)));
+  const std::string name = to_string(daemon.packets);
+  disturb(daemon, time + milliseconds(500));
+  switch (pick(4)) {
+    case 0:
+      note("kills " + name);
+      daemon.end_expected = true;
+      daemon.process->signal(SIGKILL);
+      break;
+    case 1:
+      note("pauses " + name);
+      daemon.process->signal(SIGSTOP);
+      at(time, [&daemon] { daemon.process->signal(SIGCONT); });
+      break;
+    case 2:
+      note("ends " + name);
+      daemon.end_expected = true;
+      disturb(daemon, milliseconds(6500));
+      daemon.process->signal(SIGTERM);
+      break;
+    default:
+      note("reloads " + name);
+      daemon.process->signal(SIGHUP);
+  }
+}
+
+void
+soak_run::fault_link()
+{
+  const bool all = pick(4) == 0;
+  const auto fault = static_cast<link_fault>(1 + pick(4));
+  const milliseconds time(300 + static_cast<milliseconds::rep>(pick(2200)));
+  note("link fault " + std::to_string(static_cast<int>(fault)) + (all ? " for all" : " for one"));
+  const std::size_t one = pick(daemons_.size());
+  for (std::size_t index = 0; index < daemons_.size(); ++index) {
+    daemon_state& daemon = *daemons_[index];
+    if (!all && index != one) {
+      continue;
+    }
+    disturb(daemon, time);
+    daemon.proxy->set_fault(fault);
+    at(time, [&daemon] { daemon.proxy->set_fault(link_fault::none); });
+  }
+  if (!all || pick(2) == 0) {
+    return;
+  }
+  // Records of live targets expire while the store is away, and return soon after it.
+  soak_target& target = *targets_[pick(targets_.size())];
+  if (target.state() != soak_target::health::serving || target.record().vm.leaving) {
+    return;
+  }
+  note("record of " + target.record().vm.id + " expires");
+  store_.remove_target(target.record().vm.id);
+  at(time + milliseconds(500), [this, &target] {
+    if (target.state() == soak_target::health::serving && !target.record().vm.leaving) {
+      store_.publish_target(target.record());
+    }
+  });
+}
+
+void
+soak_run::fault_target()
+{
+  soak_target& target = *targets_[pick(targets_.size())];
+  const vm_id id = target.record().vm.id;
+  if (target.state() != soak_target::health::serving || target.record().vm.leaving || targets_.size() > 40) {
+    return;
+  }
+  const std::string domain = target.record().vm.domain;
+  const std::size_t kind = pick(3);
+  if (kind == 2) {
+    note("target leaves " + id);
+    add_target(domain);
+    target.leave(now_);
+    store_.publish_target(target.record());
+    at(drain_bound + milliseconds(1500), [this, &target, id] {
+      target.set_health(soak_target::health::crashed, now_);
+      store_.remove_target(id);
+    });
+    return;
+  }
+  note(std::string(kind == 0 ? "target crashes " : "target falls silent ") + id);
+  target.set_health(kind == 0 ? soak_target::health::crashed : soak_target::health::dark, now_);
+  at(3 * heartbeat, [this, id] { store_.remove_target(id); });
+  at(milliseconds(500), [this, domain] { add_target(domain); });
+}
+
+void
+soak_run::fault_store()
+{
+  switch (pick(4)) {
+    case 0:
+      note("store forgets its history");
+      store_.forget_history();
+      break;
+    case 1:
+      note("catalogue changes");
+      publish_catalogue();
+      break;
+    case 2:
+      note("another writer's record");
+      store_.spoil_target("x-" + std::to_string(pick(5)));
+      break;
+    default: {
+      const std::string domain = domains[pick(domains.size())];
+      if (!withdrawn_.empty()) {
+        return;
+      }
+      note("domain out " + domain);
+      withdrawn_[domain] = now_;
+      store_.withdraw_domain(domain);
+      at(milliseconds(2000 + static_cast<milliseconds::rep>(pick(5000))), [this, domain] {
+        withdrawn_.erase(domain);
+        store_.return_domain(domain);
+      });
+    }
+  }
+}
+
+void
+soak_run::inject_fault()
+{
+  switch (pick(4)) {
+    case 0:
+      fault_daemon();
+      break;
+    case 1:
+      fault_link();
+      break;
+    case 2:
+      fault_target();
+      break;
+    default:
+      fault_store();
+  }
+}
+
+void
+soak_run::heal()
+{
+  note("faults end");
+  for (const auto& daemon : daemons_) {
+    daemon->proxy->set_fault(link_fault::none);
+    daemon->process->signal(SIGCONT);
+  }
+  for (const auto& [domain, since] : withdrawn_) {
+    store_.return_domain(domain);
+  }
+  withdrawn_.clear();
+}
+
+void
+soak_run::route(const std::string& domain, const flow_key& flow, const std::string& bytes)
+{
+  std::vector<const daemon_state*> in_rotation;
+  for (const bool any_domain : { false, true }) {
+    for (const auto& daemon : daemons_) {
+      if (daemon->misses < 2 && (any_domain || daemon->domain == domain)) {
+        in_rotation.push_back(daemon.get());
+      }
+    }
+    if (!in_rotation.empty()) {
+      break;
+    }
+  }
+  if (!in_rotation.empty()) {
+    router_->send(in_rotation[hash_of(flow) % in_rotation.size()]->packets, bytes);
+  }
+}
+
+void
+soak_run::check_ready(daemon_state& daemon)
+{
+  if (auto result = daemon.ready_call->busy() ? daemon.ready_call->advance(now_) : std::nullopt) {
+    const auto* answer = std::get_if<http_answer>(&*result);
+    daemon.misses = answer != nullptr && answer->status == 200 ? 0 : daemon.misses + 1;
+  }
+  if (!daemon.ready_call->busy() && now_ >= daemon.next_ready_call) {
+    daemon.next_ready_call = now_ + milliseconds(500);
+    daemon.ready_call->get("/ready", now_ + milliseconds(450));
+  }
+}
+
+void
+soak_run::check_ends()
+{
+  for (const auto& daemon : daemons_) {
+    const auto status = daemon->process->take_end();
+    if (!status) {
+      continue;
+    }
+    promises_.check(daemon->end_expected, "daemons do not end by themselves", to_string(daemon->packets));
+    daemon_state& ended = *daemon;
+    at(milliseconds(200), [this, &ended] {
+      ended.end_expected = false;
+      disturb(ended, milliseconds(0));
+      ended.process->start();
+    });
+  }
+}
+
+void
+soak_run::check_opens()
+{
+  for (const auto& target : targets_) {
+    for (const soak_target::taken_open& open : target->take_opens()) {
+      const auto daemon = std::find_if(
+        daemons_.begin(), daemons_.end(), [&open](const auto& one) { return one->packets == open.daemon; });
+      if (daemon == daemons_.end() || now_ - (*daemon)->disturbed_until < contact) {
+        continue;
+      }
+      promises_.check(!open.leaving || now_ - open.leaving_since < drain_bound,
+                      "a leaving target gets no new flows",
+                      target->record().vm.id + " from " + to_string(open.daemon));
+      const auto withdrawn = withdrawn_.find(open.domain);
+      promises_.check(withdrawn == withdrawn_.end() || now_ - withdrawn->second < withdrawal_bound,
+                      "a domain out of service gets no new flows",
+                      target->record().vm.id + " from " + to_string(open.daemon));
+    }
+  }
+}
+
+void
+soak_run::check_reset(const flow_key& flow)
+{
+  for (const auto& target : targets_) {
+    promises_.check(!target->holds_undisturbed(flow, contact, now_),
+                    "flows of live targets are not reset",
+                    target->record().vm.id + " flow " + to_string(flow.caller));
+  }
+}
+
+void
+soak_run::advance()
+{
+  now_ = boot_clock_now();
+  while (!actions_.empty() && actions_.begin()->first <= now_) {
+    const auto action = std::move(actions_.begin()->second);
+    actions_.erase(actions_.begin());
+    action();
+  }
+  std::vector<pollfd> polled;
+  store_server_->add_descriptors(polled);
+  ::poll(polled.data(), polled.size(), 1);
+  store_server_->advance(polled, now_);
+  for (const auto& daemon : daemons_) {
+    daemon->proxy->advance(now_);
+    check_ready(*daemon);
+  }
+  for (const auto& target : targets_) {
+    target->advance(now_);
+  }
+  const bool sends_new = now_ - started_ < options_.time - last_requests;
+  for (const auto& caller : callers_) {
+    caller->advance(sends_new, now_);
+  }
+  check_opens();
+  check_ends();
+}
+
+void
+soak_run::check_end(instant calm_from, instant calm_until, soak_result& result)
+{
+  std::size_t asked = 0;
+  std::size_t served = 0;
+  for (const auto& caller : callers_) {
+    for (const auto& [id, request] : caller->results()) {
+      ++result.requests;
+      result.answered += request.answered ? 1 : 0;
+      if (request.started >= calm_from && request.started < calm_until) {
+        ++asked;
+        served += request.answered ? 1 : 0;
+      }
+      const auto runs = soak_target::runs().find(id);
+      promises_.check(request.idempotent || runs == soak_target::runs().end() || runs->second <= 1,
+                      "work that must not be repeated runs once",
+                      id);
+      promises_.check(!request.answered || runs != soak_target::runs().end(), "an answer belongs to a run", id);
+    }
+  }
+  promises_.check(asked > 0 && static_cast<double>(served) >= served_in_calm * static_cast<double>(asked),
+                  "requests are served after the faults",
+                  std::to_string(served) + " of " + std::to_string(asked));
+}
+
+soak_result
+soak_run::run()
+{
+  const instant end = started_ + options_.time;
+  const instant faults_end = end - calm;
+  instant next_fault = started_ + warm_up;
+  bool healed = false;
+  while (now_ < end) {
+    advance();
+    if (now_ >= next_fault && now_ < faults_end) {
+      next_fault = now_ + milliseconds(100 + static_cast<milliseconds::rep>(pick(400)));
+      inject_fault();
+    }
+    if (now_ >= faults_end && !healed) {
+      healed = true;
+      heal();
+    }
+  }
+  soak_result result;
+  check_end(faults_end + settle, end - last_requests, result);
+  result.violations = promises_.violations();
+  std::ofstream(options_.directory + "/history") << history_;
+  return result;
+}
+
+}
