Cold targets: only daemons of their domain open flows to them, each at a share of the stated rate

Cause: when only cold targets were left, each daemon opened flows to them as to warm ones, so the rate over all daemons was not bounded; and a suspected cold target counted as doubtful, which passed over the rate.

--- a/include/coltsfootlock/coordination/steering/flow_placement.h
+++ b/include/coltsfootlock/coordination/steering/flow_placement.h
@@ -8,7 +8,7 @@
 
 namespace coltsfootlock {
 
-enum class target_condition : std::uint8_t
+enum class placement_condition : std::uint8_t
 {
   serving, ///< Takes new flows.
   cold,    ///< Has just started and has a part of its rate of new flows left.
@@ -21,7 +21,7 @@
   std::size_t index = 0;   ///< Chosen by the caller of `place_flow`.
   std::size_t domain = 0;  ///< Equal for targets of one failure domain.
   bool own_domain = false; ///< Of the daemon's failure domain.
-  target_condition condition = target_condition::serving;
+  placement_condition condition = placement_condition::serving;
   /// A first packet to it has waited for an answer for longer than a live target takes.
   bool owes_answer = false;
   /// The same caller waits for it on another flow; the new flow may be a retry of what it failed to do.
--- a/include/coltsfootlock/coordination/steering/service_directory.h
+++ b/include/coltsfootlock/coordination/steering/service_directory.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace coltsfootlock {
@@ -33,6 +34,9 @@
 
   bool in_service(const std::string& domain) const;
 
+  /// New flows a second of one cold target of a group; empty if the catalogue states none.
+  std::optional<double> cold_rate(const std::string& target_group) const;
+
   const catalogue* current() const { return catalogue_.get(); }
 
 private:
--- a/include/coltsfootlock/coordination/steering/source_choice.h
+++ b/include/coltsfootlock/coordination/steering/source_choice.h
@@ -54,6 +54,9 @@
   /// Members of a domain and contacts in the others, for a daemon of that domain that asks.
   std::vector<fleet_member> members_for(const std::string& domain, instant now) const;
 
+  /// Daemons of the own domain that were heard of lately, this one included.
+  std::size_t daemons_in_domain(instant now) const;
+
   /// The member to read from; empty if this daemon is to read the store.
   std::optional<fleet_member> peer(instant now) const;
 
--- a/include/coltsfootlock/coordination/steering/steering_engine.h
+++ b/include/coltsfootlock/coordination/steering/steering_engine.h
@@ -62,6 +62,9 @@
   std::vector<reachability_check> take_checks(instant now);
   void on_check(const vm_id& target, check_outcome outcome, instant now);
 
+  /// Daemons of the own domain, this one included. They share what a cold target of the domain bears.
+  void set_daemons_in_domain(std::size_t count) { daemons_in_domain_ = count; }
+
   /// Settings that can change while the daemon runs.
   void set_settings(const steering_settings& settings) { settings_ = settings; }
 
@@ -85,13 +88,14 @@
   steering_decision on_later(const carried_packet& packet, instant now);
   steering_decision place(const carried_packet& packet, const vm_id& avoided, instant now);
   known_target* named_target(const carried_packet& packet, drop_reason& why);
-  std::optional<target_condition> condition_of(known_target& target, instant now);
+  std::optional<placement_condition> condition_of(known_target& target, instant now);
   void note_packet(const carried_packet& packet, known_target& target, instant now);
   void suspect(known_target& target, const char* evidence, instant now);
   bool is_quiet(const known_target& target, instant now) const;
   bool records_are_fresh(instant now) const;
   void answered(flow_note& note, known_target& target, instant now);
   void forget(const flow_note& note);
+  bool may_warm_up(known_target& target, instant now) const;
   void await_answer(known_target& target, instant now);
   bool may_end(const flow_key& key, const flow_note& note) const;
   void reset_flows_of_lost_targets(instant now, std::vector<reset_flow>& resets);
@@ -115,6 +119,7 @@
   instant next_expiry_;
   instant evidence_from_; ///< What was not seen before this time proves nothing: start, or the last pause.
   std::uint64_t self_hash_ = 0;
+  std::size_t daemons_in_domain_ = 1;
   steering_counters counters_;
   std::vector<belief_change> beliefs_;
   std::vector<placement_candidate> candidates_; ///< Kept to avoid an allocation per flow.
--- a/include/coltsfootlock/coordination/steering/steering_settings.h
+++ b/include/coltsfootlock/coordination/steering/steering_settings.h
@@ -30,9 +30,6 @@
   /// Bounds the memory for flows; about 150 bytes each.
   std::size_t most_flows = 50000;
 
-  /// Share of a cold target's rate of new flows that this daemon may use, as a part of 1.
-  double cold_share = 0.125;
-
   auto operator<=>(const steering_settings&) const = default;
 };
 
--- a/libraries/coordination/steering/service_directory.cpp
+++ b/libraries/coordination/steering/service_directory.cpp
@@ -79,6 +79,17 @@
   return wanted.target_group;
 }
 
+std::optional<double>
+service_directory::cold_rate(const std::string& target_group) const
+{
+  for (const cold_start_rate& rate : catalogue_->cold_starts) {
+    if (rate.target_group == target_group && rate.opens_per_second > 0) {
+      return rate.opens_per_second;
+    }
+  }
+  return std::nullopt;
+}
+
 bool
 service_directory::in_service(const std::string& domain) const
 {
--- a/libraries/coordination/steering/source_choice.cpp
+++ b/libraries/coordination/steering/source_choice.cpp
@@ -53,6 +53,15 @@
   return result;
 }
 
+std::size_t
+source_choice::daemons_in_domain(instant now) const
+{
+  const auto others = std::count_if(members_.begin(), members_.end(), [this, now](const auto& entry) {
+    return entry.second.member.domain == domain_ && now - entry.second.heard <= member_lifetime;
+  });
+  return static_cast<std::size_t>(others) + 1;
+}
+
 const source_choice::member_state*
 source_choice::best_member(bool own_domain, instant now) const
 {
--- a/libraries/coordination/steering/steering_engine.cpp
+++ b/libraries/coordination/steering/steering_engine.cpp
@@ -21,6 +21,16 @@
   return static_cast<std::int32_t>(left - right) > 0;
 }
 
+std::string
+cold_rates_text(const catalogue& value)
+{
+  std::string text;
+  for (const cold_start_rate& rate : value.cold_starts) {
+    text += (text.empty() ? "" : ",") + rate.target_group + ":" + std::to_string(rate.opens_per_second);
+  }
+  return text.empty() ? "none" : text;
+}
+
 std::int64_t
 milliseconds_of(duration time)
 {
@@ -100,8 +110,9 @@
     {
       if (engine.services_.publish(content.value)) {
         engine.report("catalogue",
-                      "in force version=" + std::to_string(content.value->version) + " services=" +
-                        std::to_string(content.value->services.size()) + " revision=" + std::to_string(revision));
+                      "in force version=" + std::to_string(content.value->version) +
+                        " services=" + std::to_string(content.value->services.size()) + " cold_opens_per_second=" +
+                        cold_rates_text(*content.value) + " revision=" + std::to_string(revision));
       }
     }
     void operator()(const catalogue_unreadable& content) const
@@ -229,24 +240,39 @@
 }
 
 /// Empty if the target gets no new flows.
-std::optional<target_condition>
+std::optional<placement_condition>
 steering_engine::condition_of(known_target& target, instant now)
 {
   if (!target.readable || target.record.vm.leaving || !services_.in_service(target.record.vm.domain)) {
     return std::nullopt;
   }
-  switch (target.phase) {
-    case target_phase::gone:
-      return std::nullopt;
-    case target_phase::lapsed:
-      return target_condition::doubtful;
-    case target_phase::present:
-      break;
+  const bool cold = now < target.warm_at;
+  if (target.phase == target_phase::gone || (cold && !may_warm_up(target, now))) {
+    return std::nullopt;
   }
-  if (target.suspected_until > now) {
-    return target_condition::doubtful;
+  if (target.phase == target_phase::lapsed || target.suspected_until > now) {
+    return placement_condition::doubtful;
+  }
+  return cold ? placement_condition::cold : placement_condition::serving;
+}
+
+/// Load pattern: a domain comes back with cold targets, and all its daemons find them empty. Where the catalogue states
+/// what a cold target bears, only the daemons of its domain open flows to it, each at an even share of that rate.
+bool
+steering_engine::may_warm_up(known_target& target, instant now) const
+{
+  const auto rate = services_.cold_rate(target.record.vm.target_group);
+  if (!rate) {
+    return true;
+  }
+  if (target.record.vm.domain != settings_.domain) {
+    return false;
   }
-  return now < target.warm_at ? target_condition::cold : target_condition::serving;
+  const double share = *rate / static_cast<double>(std::max<std::size_t>(daemons_in_domain_, 1));
+  const std::chrono::duration<double> passed = now - target.cold_allowance_at;
+  target.cold_allowance = std::min(target.cold_allowance + passed.count() * share, std::max(share, 1.0));
+  target.cold_allowance_at = now;
+  return target.cold_allowance >= 1;
 }
 
 bool
@@ -280,7 +306,7 @@
     candidates_.push_back({ index,
                             std::hash<std::string>{}(target.record.vm.domain),
                             target.record.vm.domain == settings_.domain,
-                            was_silent ? target_condition::doubtful : *condition,
+                            was_silent ? placement_condition::doubtful : *condition,
                             target.pending_opens > 0 && now - target.pending_since > steering_timing::usual_answer_time,
                             std::find(waited_for_.begin(), waited_for_.end(), target.record.vm.id) != waited_for_.end(),
                             target.open_flows,
@@ -293,6 +319,9 @@
   }
   known_target& target = *targets[*chosen];
   isolation_.on_request(now);
+  if (now < target.warm_at) {
+    target.cold_allowance -= 1;
+  }
   steering_decision decision = forward(forward_reason::placed, target);
   std::get<forward_packet>(decision).candidates = candidates_.size();
   if (flow_note* note = flows_.add(packet.flow, target.record.vm.id, now)) {
--- a/libraries/coordination/steering/tests/test_steering_engine.cpp
+++ b/libraries/coordination/steering/tests/test_steering_engine.cpp
@@ -358,6 +358,56 @@
   BOOST_TEST(tag_of(open(flow_of(2, 2))) == 1U);
 }
 
+// Load pattern: a domain returns with cold targets only, and all of its daemons open flows to them.
+BOOST_AUTO_TEST_CASE(a_cold_target_gets_no_more_than_the_stated_rate_from_all_daemons)
+{
+  constexpr std::size_t daemons = 4;
+  constexpr double rate = 6;
+  std::vector<std::unique_ptr<steering_fixture>> fleet;
+  auto stated = std::make_shared<catalogue>();
+  stated->version = 9;
+  stated->services = { make_service(feed, "feed") };
+  stated->cold_starts = { { "feed", rate } };
+  target_record cold = make_target(1, "a");
+  cold.warm_up_left = milliseconds(8000);
+  for (std::size_t number = 0; number < daemons; ++number) {
+    auto& daemon = *fleet.emplace_back(std::make_unique<steering_fixture>());
+    daemon.engine.on_record({ ++daemon.revision, catalogue_published{ stated } }, daemon.settles_at, daemon.now);
+    daemon.engine.set_daemons_in_domain(daemons);
+    daemon.publish(cold);
+  }
+  std::uint16_t port = 1;
+  for (int second = 0; second < 7; ++second) {
+    int opens = 0;
+    for (int step = 0; step < 20; ++step) {
+      for (const auto& daemon : fleet) {
+        ++port;
+        opens += tag_of(daemon->open(flow_of(port, port))) == 1 ? 1 : 0;
+        daemon->pass(milliseconds(50));
+      }
+    }
+    BOOST_TEST(opens <= rate * 1.5 + 5);
+    BOOST_TEST((second == 0 || opens > 0));
+  }
+}
+
+// A daemon of another domain shares nothing of a cold target's rate.
+BOOST_AUTO_TEST_CASE(cold_targets_with_a_stated_rate_are_opened_from_their_own_domain_only)
+{
+  auto stated = std::make_shared<catalogue>();
+  stated->version = 9;
+  stated->services = { make_service(feed, "feed") };
+  stated->cold_starts = { { "feed", 5 } };
+  engine.on_record({ ++revision, catalogue_published{ stated } }, settles_at, now);
+  target_record cold = make_target(1, "b");
+  cold.warm_up_left = milliseconds(2000);
+  publish(cold);
+  pass(milliseconds(1000));
+  BOOST_TEST((reset_reason_of(open(flow_of(1))) == flow_end_reason::no_target));
+  pass(milliseconds(1100));
+  BOOST_TEST(tag_of(open(flow_of(2))) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(the_memory_for_flows_is_bounded_and_packets_go_on_without_it)
 {
   steering_settings small = make_settings();
--- a/programs/coltsfootlockd/carried/carried_daemon.cpp
+++ b/programs/coltsfootlockd/carried/carried_daemon.cpp
@@ -297,7 +297,10 @@
   }
   if (now >= next_tick_) {
     next_tick_ = now + steering_timing::tick_interval;
-    packets_.send_resets(engine_.tick(now), now);
+    engine_.set_daemons_in_domain(sources_.daemons_in_domain(now));
+    const std::vector<reset_flow> resets = engine_.tick(now);
+    log_beliefs(); // Before the resets that follow from them.
+    packets_.send_resets(resets, now);
     checks_.start(engine_.take_checks(now), now);
   }
   log_beliefs();
--- a/programs/coltsfootlockd/carried/carried_metrics.cpp
+++ b/programs/coltsfootlockd/carried/carried_metrics.cpp
@@ -69,12 +69,12 @@
 
 }
 
-std::string
-carried_metrics(const steering_engine& engine,
-                const packet_path& packets,
-                const record_path& records,
-                bool ready,
-                instant now)
+std::vector<prometheus::MetricFamily>
+carried_metric_families(const steering_engine& engine,
+                        const packet_path& packets,
+                        const record_path& records,
+                        bool ready,
+                        instant now)
 {
   metric_builder metrics;
   add_engine(engine, metrics);
@@ -90,7 +90,17 @@
   auto families = metrics.take();
   families.push_back(
     histogram_family("store_list_seconds", "Time of a list call to the platform's store.", records.list_seconds()));
-  return metrics_text(families);
+  return families;
+}
+
+std::string
+carried_metrics(const steering_engine& engine,
+                const packet_path& packets,
+                const record_path& records,
+                bool ready,
+                instant now)
+{
+  return metrics_text(carried_metric_families(engine, packets, records, ready, now));
 }
 
 }
--- a/programs/coltsfootlockd/carried/carried_metrics.h
+++ b/programs/coltsfootlockd/carried/carried_metrics.h
@@ -3,10 +3,21 @@
 #include "carried/packet_path.h"
 #include "carried/record_path.h"
 
+#include <prometheus/metric_family.h>
+
 #include <string>
+#include <vector>
 
 namespace coltsfootlock {
 
+/// The metric families of a daemon that routes carried flows.
+std::vector<prometheus::MetricFamily>
+carried_metric_families(const steering_engine& engine,
+                        const packet_path& packets,
+                        const record_path& records,
+                        bool ready,
+                        instant now);
+
 /// The page of the metrics address, in the text format of Prometheus.
 std::string
 carried_metrics(const steering_engine& engine,
--- a/programs/coltsfootlockd/tests/test_documentation.cpp
+++ b/programs/coltsfootlockd/tests/test_documentation.cpp
@@ -1,3 +1,4 @@
+#include "carried/carried_metrics.h"
 #include "command_line.h"
 #include "metrics_report.h"
 #include "setting_definition.h"
@@ -125,6 +126,29 @@
   }
 }
 
+// The same for the metrics of carried flows.
+BOOST_AUTO_TEST_CASE(the_page_of_metrics_of_carried_flows_agrees_with_the_program)
+{
+  error why;
+  steering_engine engine{ steering_settings{} };
+  source_choice sources("entry-1", "a");
+  const packet_path packets(std::move(*udp_socket::bind({ 0x7f000001, 0 }, why)), engine);
+  const record_path records({ 0x7f000001, 1 }, {}, 1, sources, engine);
+  std::set<row> expected;
+  for (const auto& family : carried_metric_families(engine, packets, records, true, instant(seconds(1)))) {
+    const std::string type = family.type == prometheus::MetricType::Counter     ? "counter"
+                             : family.type == prometheus::MetricType::Histogram ? "histogram"
+                                                                                : "gauge";
+    expected.insert({ family.name, type, labels_of(family), family.help });
+  }
+  const auto rows = rows_of("METRICS-CARRIED.md");
+  const std::set<row> documented(rows.begin(), rows.end());
+  BOOST_TEST(rows.size() == expected.size());
+  for (const row& entry : expected) {
+    BOOST_TEST(documented.count(entry) == 1U, entry[0] << " is not documented as it is");
+  }
+}
+
 // Guards against names that Prometheus refuses or that break its conventions.
 BOOST_AUTO_TEST_CASE(names_of_metrics_follow_the_conventions)
 {
