After a pause, drop first packets that waited; reset no flow that was not seen open

It placed them anew at other targets, and when one of those targets went away, a daemon reset the flow although it was open elsewhere, at a live target.

First packets that waited during a pause are dropped (late_open); packets of open flows are still forwarded. A flow whose opening was not answered here is forgotten without a reset. Ruled out: the records (0.3 s old) and the reachability checks as such.

--- a/include/coltsfootlock/coordination/steering/steering_decision.h
+++ b/include/coltsfootlock/coordination/steering/steering_decision.h
@@ -30,15 +30,16 @@
 
 enum class drop_reason : std::uint8_t
 {
-  not_ready,       ///< The records are not known yet.
-  stale_records,   ///< The service is unknown, and the records are too old to tell the caller so.
-  unknown_target,  ///< No target has the token of the packet.
-  ambiguous_target ///< Several targets have the token of the packet.
+  not_ready,        ///< The records are not known yet.
+  stale_records,    ///< The service is unknown, and the records are too old to tell the caller so.
+  unknown_target,   ///< No target has the token of the packet.
+  ambiguous_target, ///< Several targets have the token of the packet.
+  late_open         ///< A first packet that waited while the process was paused; its copies went elsewhere.
 };
 
 inline constexpr std::size_t forward_reason_count = 4;
 inline constexpr std::size_t flow_end_reason_count = 5;
-inline constexpr std::size_t drop_reason_count = 4;
+inline constexpr std::size_t drop_reason_count = 5;
 
 const char*
 to_string(forward_reason value);
--- a/include/coltsfootlock/coordination/steering/steering_engine.h
+++ b/include/coltsfootlock/coordination/steering/steering_engine.h
@@ -53,6 +53,10 @@
   /// When the records were last known to be complete.
   void on_confirmed(instant at) { confirmed_at_ = at; }
 
+  /// The process was paused until now; the packets that follow have waited until `on_backlog_end`.
+  void on_pause(instant now);
+  void on_backlog_end() { backlog_ = false; }
+
   steering_decision on_packet(const carried_packet& packet, instant now);
 
   /// To be called every `steering_timing::tick_interval`. Returns the flows to reset.
@@ -112,8 +116,8 @@
   flow_notes flows_;
   isolation_watch isolation_;
   bool complete_ = false;
+  bool backlog_ = false; ///< Packets have waited during a pause.
   std::optional<instant> confirmed_at_;
-  instant last_tick_;
   instant last_domain_progress_; ///< Of any target of the own domain.
   bool found_dead_ = false;      ///< Since the last tick.
   instant next_expiry_;
--- a/libraries/coordination/steering/steering_decision.cpp
+++ b/libraries/coordination/steering/steering_decision.cpp
@@ -64,6 +64,8 @@
       return "unknown_target";
     case drop_reason::ambiguous_target:
       return "ambiguous_target";
+    case drop_reason::late_open:
+      return "late_open";
   }
   return "unknown";
 }
--- a/libraries/coordination/steering/steering_engine.cpp
+++ b/libraries/coordination/steering/steering_engine.cpp
@@ -204,9 +204,22 @@
   return packet.opens ? on_opening(packet, now) : on_later(packet, now);
 }
 
+/// Load pattern: a daemon stands still with packets in its socket. Copies of a first packet in it have opened the flow
+/// through another daemon since, at another target.
+void
+steering_engine::on_pause(instant now)
+{
+  evidence_from_ = now;
+  backlog_ = true;
+  isolation_.on_pause();
+}
+
 steering_decision
 steering_engine::on_opening(const carried_packet& packet, instant now)
 {
+  if (backlog_) {
+    return drop(drop_reason::late_open);
+  }
   if (flow_note* note = flows_.find(packet.flow); note != nullptr && !note->answered) {
     return on_copy(packet, *note, now);
   }
@@ -572,7 +585,8 @@
                                    : started_anew ? flow_end_reason::target_restarted
                                                   : flow_end_reason::target_dead;
     forget(note);
-    if (!note.closing) {
+    // A flow that this daemon has not seen open may be open at another target, through another daemon.
+    if (!note.closing && note.answered) {
       ++counters_.resets[static_cast<std::size_t>(reason)];
       resets.push_back({ reason, key, note.acknowledged, note.target });
     }
@@ -583,12 +597,7 @@
 std::vector<reset_flow>
 steering_engine::tick(instant now)
 {
-  if (last_tick_ == instant{} || now - last_tick_ > steering_timing::longest_round) {
-    evidence_from_ = now;
-    isolation_.on_pause();
-  }
   isolation_.tick(records_are_fresh(now), now);
-  last_tick_ = now;
   std::vector<reset_flow> resets;
   targets_.tick(retained_lifetimes * settings_.flow_lifetime, now);
   bool lost = !restarted_.empty() || std::exchange(found_dead_, false);
--- a/libraries/coordination/steering/tests/steering_fixture.h
+++ b/libraries/coordination/steering/tests/steering_fixture.h
@@ -20,7 +20,8 @@
   steering_fixture()
     : engine(make_settings())
   {
-    engine.tick(now);
+    engine.on_pause(now);
+    engine.on_backlog_end();
     publish_catalogue(1, { make_service(feed, "feed") });
     engine.on_snapshot_begin();
     complete();
--- a/libraries/coordination/steering/tests/test_steering_engine.cpp
+++ b/libraries/coordination/steering/tests/test_steering_engine.cpp
@@ -296,11 +296,34 @@
   publish(make_target(1, "a"));
   establish(flow_of(1));
   now += milliseconds(8000);
+  engine.on_pause(now);
   remove(1);
   BOOST_TEST(engine.tick(now).empty());
   BOOST_TEST(tag_of(send(flow_of(1), token_of_tag(1), 2)) == 1U);
 }
 
+// Soak seed 211: a daemon woke with a first packet in its socket whose copy had opened the flow through another daemon.
+BOOST_AUTO_TEST_CASE(a_daemon_that_was_frozen_opens_no_flow_for_packets_that_waited)
+{
+  publish(make_target(1, "a"));
+  now += milliseconds(3000);
+  engine.on_pause(now);
+  BOOST_TEST((drop_reason_of(open(flow_of(1))) == drop_reason::late_open));
+  BOOST_TEST(tag_of(send(flow_of(2), token_of_tag(1), 5)) == 1U); // Packets of open flows are still of use.
+  engine.on_backlog_end();
+  BOOST_TEST(tag_of(open(flow_of(3))) == 1U);
+}
+
+// Soak seed 301: the flow was open at another target, through another daemon, when the target of its first copy died.
+BOOST_AUTO_TEST_CASE(a_flow_that_was_not_seen_open_is_not_reset)
+{
+  publish(make_target(1, "a"));
+  open(flow_of(1));
+  pass(milliseconds(500));
+  remove(1);
+  BOOST_TEST(pass(milliseconds(3000)).empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_new_incarnation_ends_the_flows_of_the_previous_one_only)
 {
   publish(make_target(1, "a"));
--- a/programs/coltsfootlockd/carried/carried_daemon.cpp
+++ b/programs/coltsfootlockd/carried/carried_daemon.cpp
@@ -204,7 +204,14 @@
     peer_server_->add_descriptors(descriptors_);
   }
   ::poll(descriptors_.data(), descriptors_.size(), wait_time(now_));
+  const instant before = now_;
   now_ = boot_clock_now();
+  if (now_ - before > steering_timing::longest_round) {
+    write_log(log_level::warning,
+              "daemon",
+              "paused ms=" + std::to_string(std::chrono::duration_cast<milliseconds>(now_ - before).count()));
+    engine_.on_pause(now_);
+  }
   const std::span<const pollfd> polled = descriptors_;
   const auto group = [&polled](std::size_t begin, std::size_t end) { return polled.subspan(begin, end - begin); };
   const auto any_ready = [](std::span<const pollfd> waited) {
@@ -317,7 +324,8 @@
   now_ = boot_clock_now();
   started_ = now_;
   next_settings_check_ = now_ + settings_interval;
-  engine_.tick(now_);
+  engine_.on_pause(now_); // What was before the start is not known either.
+  engine_.on_backlog_end();
   while (!may_leave(now_)) {
     wait_and_handle();
     run_duties(now_);
--- a/programs/coltsfootlockd/carried/packet_path.cpp
+++ b/programs/coltsfootlockd/carried/packet_path.cpp
@@ -37,6 +37,7 @@
   for (int count = 0; count < packets_per_round; ++count) {
     const auto size = socket_.receive_into(packet);
     if (!size) {
+      engine_.on_backlog_end();
       return;
     }
     last_packet_ = now;
