--- /dev/null
+++ b/libraries/coordination/steering/flow_opening_decisions.cpp
@@ -0,0 +1,138 @@
+#include "coltsfootlock/coordination/steering/steering_engine.h"
+
+#include "coltsfootlock/coordination/steering/steering_timing.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace coltsfootlock {
+
+steering_decision
+steering_engine::on_opening(const carried_packet& packet, instant now)
+{
+  if (backlog_) {
+    return drop(drop_reason::late_open);
+  }
+  if (flow_note* note = flows_.find(packet.flow); note != nullptr && !note->answered) {
+    return on_copy(packet, *note, now);
+  }
+  return place(packet, {}, now);
+}
+
+/// Load pattern: a target falls silent, and each caller that opens a flow to it loses an attempt. The caller's copy
+/// shows that the first packet was not answered: it goes to another target, unless this daemon itself was late.
+steering_decision
+steering_engine::on_copy(const carried_packet& packet, flow_note& note, instant now)
+{
+  known_target* target = targets_.find(note.target);
+  const bool usable = target != nullptr && target->phase == target_phase::present && condition_of(*target, now);
+  const bool early = now - note.last_packet < steering_timing::shortest_copy_gap;
+  const bool alive = target != nullptr && target->last_progress > note.last_packet;
+  if (usable && (early || alive)) {
+    note.last_packet = now;
+    return forward(forward_reason::repeated, *target);
+  }
+  if (target != nullptr && !early) {
+    suspect(*target, "suspected evidence=unanswered_open", now);
+  }
+  const vm_id avoided = note.target;
+  forget(note);
+  flows_.erase(packet.flow);
+  steering_decision decision = place(packet, avoided, now);
+  if (auto* forwarded = std::get_if<forward_packet>(&decision)) {
+    forwarded->reason = forward_reason::moved;
+  }
+  return decision;
+}
+
+/// Empty if the target gets no new flows.
+std::optional<placement_condition>
+steering_engine::condition_of(known_target& target, instant now)
+{
+  if (!target.readable || target.record.vm.leaving || !services_.in_service(target.record.vm.domain)) {
+    return std::nullopt;
+  }
+  const bool cold = now < target.warm_at;
+  if (target.phase == target_phase::gone || (cold && !may_warm_up(target, now))) {
+    return std::nullopt;
+  }
+  if (target.phase == target_phase::lapsed || target.suspected_until > now) {
+    return placement_condition::doubtful;
+  }
+  return cold ? placement_condition::cold : placement_condition::serving;
+}
+
+/// Load pattern: a domain comes back with cold targets, and all its daemons find them empty. Where the catalogue states
+/// what a cold target bears, only the daemons of its domain open flows to it, each at an even share of that rate.
+bool
+steering_engine::may_warm_up(known_target& target, instant now) const
+{
+  const auto rate = services_.cold_rate(target.record.vm.target_group);
+  if (!rate) {
+    return true;
+  }
+  if (target.record.vm.domain != settings_.domain) {
+    return false;
+  }
+  const double share = *rate / static_cast<double>(std::max<std::size_t>(daemons_in_domain_, 1));
+  const std::chrono::duration<double> passed = now - target.cold_allowance_at;
+  target.cold_allowance = std::min(target.cold_allowance + passed.count() * share, std::max(share, 1.0));
+  target.cold_allowance_at = now;
+  return target.cold_allowance >= 1;
+}
+
+steering_decision
+steering_engine::place(const carried_packet& packet, const vm_id& avoided, instant now)
+{
+  const service* wanted = services_.find(packet.flow.service);
+  if (wanted == nullptr) {
+    return records_are_fresh(now) ? reset(flow_end_reason::no_service, packet, {}) : drop(drop_reason::stale_records);
+  }
+  const auto& targets = targets_.of_group(services_.group_for(*wanted, packet.flow));
+  waited_for_.clear();
+  flows_.for_each_of_caller(packet.flow.caller.address, packet.flow.service, [this](const flow_note& note) {
+    if (!note.closing && (!note.answered || note.awaits_answer)) {
+      waited_for_.push_back(note.target);
+    }
+  });
+  candidates_.clear();
+  for (std::size_t index = 0; index < targets.size(); ++index) {
+    known_target& target = *targets[index];
+    const auto condition = condition_of(target, now);
+    if (!condition) {
+      continue;
+    }
+    const bool was_silent = target.record.vm.id == avoided;
+    candidates_.push_back({ index,
+                            std::hash<std::string>{}(target.record.vm.domain),
+                            target.record.vm.domain == settings_.domain,
+                            was_silent ? placement_condition::doubtful : *condition,
+                            target.pending_opens > 0 && now - target.pending_since > steering_timing::usual_answer_time,
+                            std::find(waited_for_.begin(), waited_for_.end(), target.record.vm.id) != waited_for_.end(),
+                            target.open_flows,
+                            target.record.slots,
+                            self_hash_ ^ (target.record.tag * 0x9e3779b97f4a7c15ULL) });
+  }
+  const auto chosen = place_flow(candidates_);
+  if (!chosen) {
+    return reset(flow_end_reason::no_target, packet, {});
+  }
+  known_target& target = *targets[*chosen];
+  isolation_.on_request(now);
+  if (now < target.warm_at) {
+    target.cold_allowance -= 1;
+  }
+  steering_decision decision = forward(forward_reason::placed, target);
+  std::get<forward_packet>(decision).candidates = candidates_.size();
+  if (flow_note* note = flows_.add(packet.flow, target.record.vm.id, now)) {
+    ++target.open_flows;
+    if (target.pending_opens++ == 0) {
+      target.pending_since = now;
+    }
+    await_answer(target, now);
+    note->sent_up_to = packet.sequence;
+  }
+  return decision;
+}
+
+}
--- /dev/null
+++ b/tests/soak/soak_faults.cpp
@@ -0,0 +1,174 @@
+#include "soak_run.h"
+
+#include "soak_times.h"
+
+#include <algorithm>
+#include <csignal>
+
+namespace coltsfootlock::soak {
+
+void
+soak_run::fault_daemon()
+{
+  daemon_state& daemon = *daemons_[pick(daemons_.size())];
+  if (!daemon.process->running() || daemon.end_expected) {
+    return;
+  }
+  const milliseconds time(300 + static_cast<milliseconds::rep>(pick(2200)));
+  const std::string name = to_string(daemon.packets);
+  disturb(daemon, time + milliseconds(500));
+  switch (pick(4)) {
+    case 0:
+      note("kills " + name);
+      daemon.end_expected = true;
+      daemon.process->signal(SIGKILL);
+      break;
+    case 1:
+      note("pauses " + name);
+      daemon.process->signal(SIGSTOP);
+      at(time, [&daemon] { daemon.process->signal(SIGCONT); });
+      break;
+    case 2:
+      note("ends " + name);
+      daemon.end_expected = true;
+      disturb(daemon, milliseconds(6500));
+      daemon.process->signal(SIGTERM);
+      break;
+    default:
+      note("reloads " + name);
+      daemon.process->signal(SIGHUP);
+  }
+}
+
+void
+soak_run::fault_link()
+{
+  const bool all = pick(4) == 0;
+  const auto fault = static_cast<link_fault>(1 + pick(4));
+  const milliseconds time(300 + static_cast<milliseconds::rep>(pick(2200)));
+  note("link fault " + std::to_string(static_cast<int>(fault)) + (all ? " for all" : " for one"));
+  const std::size_t one = pick(daemons_.size());
+  for (std::size_t index = 0; index < daemons_.size(); ++index) {
+    daemon_state& daemon = *daemons_[index];
+    if (!all && index != one) {
+      continue;
+    }
+    disturb(daemon, time);
+    daemon.proxy->set_fault(fault);
+    at(time, [&daemon] { daemon.proxy->set_fault(link_fault::none); });
+  }
+  if (!all || pick(2) == 0) {
+    return;
+  }
+  // Records of live targets expire while the store is away, and return soon after it.
+  soak_target& target = *targets_[pick(targets_.size())];
+  if (target.state() != soak_target::health::serving || target.record().vm.leaving) {
+    return;
+  }
+  note("record of " + target.record().vm.id + " expires");
+  store_.remove_target(target.record().vm.id);
+  at(time + milliseconds(500), [this, &target] {
+    if (target.state() == soak_target::health::serving && !target.record().vm.leaving) {
+      store_.publish_target(target.record());
+    }
+  });
+}
+
+void
+soak_run::fault_target()
+{
+  soak_target& target = *targets_[pick(targets_.size())];
+  const vm_id id = target.record().vm.id;
+  if (target.state() != soak_target::health::serving || target.record().vm.leaving || targets_.size() > 40) {
+    return;
+  }
+  const std::string domain = target.record().vm.domain;
+  const std::size_t kind = pick(3);
+  if (kind == 2) {
+    note("target leaves " + id);
+    add_target(domain);
+    target.leave(now_);
+    store_.publish_target(target.record());
+    at(drain_bound + milliseconds(1500), [this, &target, id] {
+      target.set_health(soak_target::health::crashed, now_);
+      store_.remove_target(id);
+    });
+    return;
+  }
+  note(std::string(kind == 0 ? "target crashes " : "target falls silent ") + id);
+  target.set_health(kind == 0 ? soak_target::health::crashed : soak_target::health::dark, now_);
+  at(3 * heartbeat, [this, id] { store_.remove_target(id); });
+  at(milliseconds(500), [this, domain] { add_target(domain); });
+}
+
+void
+soak_run::fault_store()
+{
+  switch (pick(4)) {
+    case 0:
+      note("store forgets its history");
+      store_.forget_history();
+      break;
+    case 1:
+      note("catalogue changes");
+      publish_catalogue();
+      break;
+    case 2:
+      note("another writer's record");
+      store_.spoil_target("x-" + std::to_string(pick(5)));
+      break;
+    default: {
+      const std::string domain = domains[pick(domains.size())];
+      if (!withdrawn_.empty()) {
+        return;
+      }
+      note("domain out " + domain);
+      withdrawn_[domain] = now_;
+      store_.withdraw_domain(domain);
+      at(milliseconds(2000 + static_cast<milliseconds::rep>(pick(5000))), [this, domain] {
+        withdrawn_.erase(domain);
+        store_.return_domain(domain);
+      });
+    }
+  }
+}
+
+void
+soak_run::inject_fault()
+{
+  switch (pick(4)) {
+    case 0:
+      fault_daemon();
+      break;
+    case 1:
+      fault_link();
+      break;
+    case 2:
+      fault_target();
+      break;
+    default:
+      fault_store();
+  }
+}
+
+void
+soak_run::heal()
+{
+  note("faults end");
+  for (const auto& daemon : daemons_) {
+    daemon->proxy->set_fault(link_fault::none);
+    daemon->process->signal(SIGCONT);
+  }
+  for (const auto& [domain, since] : withdrawn_) {
+    store_.return_domain(domain);
+  }
+  withdrawn_.clear();
+}
+
+void
+soak_run::disturb(daemon_state& daemon, milliseconds time)
+{
+  daemon.disturbed_until = std::max(daemon.disturbed_until, now_ + time);
+}
+
+}
