--- a/programs/coltsfootlockd/carried/carried_daemon.cpp
+++ b/programs/coltsfootlockd/carried/carried_daemon.cpp
@@ -1,28 +1,19 @@
 #include "carried/carried_daemon.h"
 
 #include "carried/carried_metrics.h"
-#include "carried/carried_settings.h"
-#include "carried/introductions.h"
-#include "carried/packet_path.h"
 #include "carried/peer_pages.h"
-#include "carried/record_path.h"
-#include "carried/target_checks.h"
+#include "carried/process_requests.h"
 #include "command_line.h"
-#include "exit_codes.h"
 
 #include "coltsfootlock/coordination/rendezvous.h"
 #include "coltsfootlock/coordination/steering/steering_timing.h"
 #include "coltsfootlock/transport/boot_clock.h"
 #include "coltsfootlock/transport/log.h"
-#include "coltsfootlock/transport/page_server.h"
 
 #include <algorithm>
-#include <csignal>
-#include <iostream>
-#include <memory>
 #include <span>
-
-#include <unistd.h>
+#include <string>
+#include <utility>
 
 namespace coltsfootlock {
 
@@ -46,88 +37,32 @@
 /// Left of the grace period for the process to end by itself.
 constexpr milliseconds exit_margin{ 1000 };
 
-volatile std::sig_atomic_t termination_requested = 0;
-volatile std::sig_atomic_t reload_requested = 0;
-
-void
-on_signal(int signal)
+bool
+any_ready(std::span<const pollfd> waited)
 {
-  if (signal == SIGHUP) {
-    reload_requested = 1;
-  } else {
-    termination_requested = 1;
-  }
+  return std::any_of(waited.begin(), waited.end(), [](const pollfd& one) { return one.revents != 0; });
 }
 
-void
-install_signal_handlers()
-{
-  struct sigaction action = {};
-  action.sa_handler = &on_signal;
-  sigaction(SIGTERM, &action, nullptr);
-  sigaction(SIGINT, &action, nullptr);
-  sigaction(SIGHUP, &action, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
 }
 
-class carried_daemon
+carried_daemon::carried_daemon(value_map given,
+                               const carried_settings& settings,
+                               udp_socket socket,
+                               page_server ready_server)
+  : given_(std::move(given))
+  , settings_(settings)
+  , engine_(settings.steering)
+  , packets_(std::move(socket), engine_)
+  , sources_(settings.steering.self, settings.steering.domain)
+  , records_(settings.platform,
+             settings.follower,
+             static_cast<std::uint32_t>(hash_text(settings.steering.self)),
+             sources_,
+             engine_)
+  , ready_server_(std::move(ready_server))
 {
-public:
-  carried_daemon(value_map given, const carried_settings& settings, udp_socket socket, page_server ready_server)
-    : given_(std::move(given))
-    , settings_(settings)
-    , engine_(settings.steering)
-    , packets_(std::move(socket), engine_)
-    , sources_(settings.steering.self, settings.steering.domain)
-    , records_(settings.platform,
-               settings.follower,
-               static_cast<std::uint32_t>(hash_text(settings.steering.self)),
-               sources_,
-               engine_)
-    , ready_server_(std::move(ready_server))
-  {
-    ready_server_.add_page("/ready", [this](const page_request&, instant) { return ready_page(); });
-  }
-
-  void serve_metrics(page_server server);
-
-  /// Lets other daemons follow this one, and this one follow others.
-  void serve_peers(const endpoint& call_address, page_server server);
-
-  /// Returns after SIGTERM.
-  void run();
-
-private:
-  page ready_page();
-  bool is_ready() const { return engine_.knows_records() && !engine_.isolated() && !leaving_since_; }
-  bool may_leave(instant now) const;
-  int wait_time(instant now) const;
-  void wait_and_handle();
-  void run_duties(instant now);
-  void log_beliefs();
-  void reload(bool signalled);
-
-  const value_map given_;
-  carried_settings settings_;
-  steering_engine engine_;
-  packet_path packets_;
-  source_choice sources_;
-  record_path records_;
-  std::optional<introductions> introductions_;
-  std::optional<page_server> peer_server_;
-  target_checks checks_;
-  page_server ready_server_;
-  std::optional<page_server> metrics_server_;
-  std::vector<pollfd> descriptors_;
-  instant now_;
-  instant started_;
-  instant next_tick_;
-  instant next_log_;
-  instant next_settings_check_;
-  std::optional<instant> leaving_since_;
-  int refusals_while_leaving_ = 0;
-  bool was_ready_ = false;
-};
+  ready_server_.add_page("/ready", [this](const page_request&, instant) { return ready_page(); });
+}
 
 void
 carried_daemon::serve_metrics(page_server server)
@@ -156,6 +91,15 @@
   return is_ready() ? page{ 200, "{}" } : page{ 503, "{}" };
 }
 
+const char*
+carried_daemon::unready_reason() const
+{
+  if (leaving_since_) {
+    return "leaving";
+  }
+  return engine_.isolated() ? "isolated" : "no_records";
+}
+
 bool
 carried_daemon::may_leave(instant now) const
 {
@@ -175,34 +119,40 @@
   return static_cast<int>(std::clamp<milliseconds::rep>(left, 0, steering_timing::tick_interval.count()));
 }
 
-void
-carried_daemon::wait_and_handle()
+carried_daemon::poll_groups
+carried_daemon::collect_descriptors()
 {
-  // Packets wait in the socket until the records are known, which usually takes a few round trips after the start.
-  const bool takes_packets = engine_.knows_records() || now_ - started_ > longest_packet_wait;
+  poll_groups groups;
   descriptors_.clear();
-  const auto begin_group = [this] { return descriptors_.size(); };
-  if (takes_packets) {
+  // Packets wait in the socket until the records are known, which usually takes a few round trips after the start.
+  if (engine_.knows_records() || now_ - started_ > longest_packet_wait) {
     descriptors_.push_back({ packets_.descriptor(), POLLIN, 0 });
   }
-  const std::size_t record_group = begin_group();
+  groups.records = descriptors_.size();
   records_.add_descriptor(descriptors_);
-  const std::size_t introduction_group = begin_group();
+  groups.introductions = descriptors_.size();
   if (introductions_) {
     introductions_->add_descriptor(descriptors_);
   }
-  const std::size_t check_group = begin_group();
+  groups.checks = descriptors_.size();
   checks_.add_descriptors(descriptors_);
-  const std::size_t ready_group = begin_group();
+  groups.ready = descriptors_.size();
   ready_server_.add_descriptors(descriptors_);
-  const std::size_t metrics_group = begin_group();
+  groups.metrics = descriptors_.size();
   if (metrics_server_) {
     metrics_server_->add_descriptors(descriptors_);
   }
-  const std::size_t peer_group = begin_group();
+  groups.peers = descriptors_.size();
   if (peer_server_) {
     peer_server_->add_descriptors(descriptors_);
   }
+  return groups;
+}
+
+/// Waits for events or the next duty, and notices if the process stood still.
+void
+carried_daemon::wait()
+{
   ::poll(descriptors_.data(), descriptors_.size(), wait_time(now_));
   const instant before = now_;
   now_ = boot_clock_now();
@@ -212,32 +162,37 @@
               "paused ms=" + std::to_string(std::chrono::duration_cast<milliseconds>(now_ - before).count()));
     engine_.on_pause(now_);
   }
+}
+
+void
+carried_daemon::handle_events(const poll_groups& groups)
+{
   const std::span<const pollfd> polled = descriptors_;
   const auto group = [&polled](std::size_t begin, std::size_t end) { return polled.subspan(begin, end - begin); };
-  const auto any_ready = [](std::span<const pollfd> waited) {
-    return std::any_of(waited.begin(), waited.end(), [](const pollfd& one) { return one.revents != 0; });
-  };
-  const bool tick_due = now_ >= next_tick_;
-  const auto serve = [&](page_server& server, std::span<const pollfd> waited, bool news) {
-    if (tick_due || news || any_ready(waited)) {
-      server.advance(waited, now_);
-    }
-  };
-  if (any_ready(group(0, record_group))) {
+  if (any_ready(group(0, groups.records))) {
     packets_.advance(records_.confirmed_at(), now_);
+  } else {
+    engine_.on_backlog_end();
   }
   const std::uint64_t revision = records_.book().revision();
-  records_.advance(any_ready(group(record_group, introduction_group)), now_);
+  records_.advance(any_ready(group(groups.records, groups.introductions)), now_);
   if (introductions_) {
-    introductions_->advance(any_ready(group(introduction_group, check_group)), now_);
+    introductions_->advance(any_ready(group(groups.introductions, groups.checks)), now_);
   }
-  checks_.advance(group(check_group, ready_group), engine_, now_);
-  serve(ready_server_, group(ready_group, metrics_group), false);
+  checks_.advance(group(groups.checks, groups.ready), engine_, now_);
+  const bool tick_due = now_ >= next_tick_;
+  const auto serve = [this, tick_due](page_server& server, std::span<const pollfd> waited, bool news) {
+    if (tick_due || news || any_ready(waited)) {
+      server.advance(waited, now_);
+    }
+  };
+  serve(ready_server_, group(groups.ready, groups.metrics), false);
   if (metrics_server_) {
-    serve(*metrics_server_, group(metrics_group, peer_group), false);
+    serve(*metrics_server_, group(groups.metrics, groups.peers), false);
   }
   if (peer_server_) {
-    serve(*peer_server_, group(peer_group, polled.size()), records_.book().revision() != revision);
+    const bool news = records_.book().revision() != revision;
+    serve(*peer_server_, group(groups.peers, polled.size()), news);
   }
 }
 
@@ -249,11 +204,7 @@
   }
   if (is_ready() != was_ready_) {
     was_ready_ = is_ready();
-    write_log(log_level::info,
-              "daemon",
-              was_ready_ ? "ready"
-                         : std::string("not ready reason=") +
-                             (leaving_since_ ? "leaving" : (engine_.isolated() ? "isolated" : "no_records")));
+    write_log(log_level::info, "daemon", was_ready_ ? "ready" : std::string("not ready reason=") + unready_reason());
   }
 }
 
@@ -292,13 +243,12 @@
 void
 carried_daemon::run_duties(instant now)
 {
-  if (termination_requested != 0 && !leaving_since_) {
+  if (process_requests::termination_requested() && !leaving_since_) {
     leaving_since_ = now;
     write_log(log_level::info, "daemon", "leaving flows=" + std::to_string(engine_.flows()));
   }
-  const bool signalled = reload_requested != 0;
+  const bool signalled = process_requests::take_reload_request();
   if (signalled || now >= next_settings_check_) {
-    reload_requested = 0;
     next_settings_check_ = now + settings_interval;
     reload(signalled);
   }
@@ -327,63 +277,12 @@
   engine_.on_pause(now_); // What was before the start is not known either.
   engine_.on_backlog_end();
   while (!may_leave(now_)) {
-    wait_and_handle();
+    const poll_groups groups = collect_descriptors();
+    wait();
+    handle_events(groups);
     run_duties(now_);
   }
   write_log(log_level::info, "daemon", "left");
 }
 
-int
-fail(int code, const error& why)
-{
-  std::cerr << "coltsfootlockd: " << why.message << '\n';
-  return code;
-}
-
-}
-
-int
-run_carried_mode(const value_map& given, bool only_check)
-{
-  error why;
-  const auto values = effective_values(given, why);
-  const auto settings = values ? read_carried_settings(*values, why) : std::nullopt;
-  if (!settings) {
-    return fail(exit_wrong_settings, why);
-  }
-  if (only_check) {
-    std::cout << "The settings are valid.\n";
-    return 0;
-  }
-  install_signal_handlers();
-  auto socket = udp_socket::bind(settings->packet_address, why);
-  auto ready_server = socket ? page_server::listen(settings->ready_address, why) : std::nullopt;
-  if (!ready_server) {
-    return fail(exit_cannot_start, why);
-  }
-  start_unthreaded_log(STDOUT_FILENO, settings->lowest_level);
-  carried_daemon daemon(given, *settings, std::move(*socket), std::move(*ready_server));
-  if (settings->metrics_address) {
-    auto metrics_server = page_server::listen(*settings->metrics_address, why);
-    if (!metrics_server) {
-      return fail(exit_cannot_start, why);
-    }
-    daemon.serve_metrics(std::move(*metrics_server));
-  }
-  if (settings->call_address) {
-    auto peer_server = page_server::listen(*settings->call_address, why);
-    if (!peer_server) {
-      return fail(exit_cannot_start, why);
-    }
-    daemon.serve_peers(*settings->call_address, std::move(*peer_server));
-  }
-  write_log(log_level::info,
-            "daemon",
-            "starts vm=" + settings->steering.self + " domain=" + settings->steering.domain +
-              " packets=" + to_string(settings->packet_address) + " store=" + to_string(settings->platform));
-  daemon.run();
-  stop_log();
-  return 0;
-}
-
 }
--- a/programs/coltsfootlockd/carried/carried_daemon.h
+++ b/programs/coltsfootlockd/carried/carried_daemon.h
@@ -1,13 +1,82 @@
 #pragma once
 
-#include "setting_values.h"
+#include "carried/carried_settings.h"
+#include "carried/introductions.h"
+#include "carried/packet_path.h"
+#include "carried/record_path.h"
+#include "carried/target_checks.h"
+
+#include "coltsfootlock/coordination/steering/steering_engine.h"
+#include "coltsfootlock/transport/page_server.h"
+#include "coltsfootlock/transport/udp_socket.h"
+
+#include <cstddef>
+#include <optional>
+#include <vector>
+
+#include <poll.h>
 
 namespace coltsfootlock {
 
-/// Checks the settings of a daemon that routes carried flows, and runs it until SIGTERM unless `only_check` is set.
-/// `given`: flags and environment; the settings file that they name is read here and again whenever it changes. Returns
-/// the exit code of the process.
-int
-run_carried_mode(const value_map& given, bool only_check);
+/// A daemon that routes carried flows: one thread that waits for packets, answers and the time of the next duty.
+class carried_daemon
+{
+public:
+  /// `given`: flags and environment; the settings file that they name is read again whenever it changes.
+  carried_daemon(value_map given, const carried_settings& settings, udp_socket socket, page_server ready_server);
+
+  void serve_metrics(page_server server);
+
+  /// Lets other daemons follow this one, and this one follow others.
+  void serve_peers(const endpoint& call_address, page_server server);
+
+  /// Returns after SIGTERM.
+  void run();
+
+private:
+  page ready_page();
+  bool is_ready() const { return engine_.knows_records() && !engine_.isolated() && !leaving_since_; }
+  const char* unready_reason() const;
+  bool may_leave(instant now) const;
+  /// Where the descriptors of each part begin among those that are waited for; the packet socket comes first.
+  struct poll_groups
+  {
+    std::size_t records = 0;
+    std::size_t introductions = 0;
+    std::size_t checks = 0;
+    std::size_t ready = 0;
+    std::size_t metrics = 0;
+    std::size_t peers = 0;
+  };
+
+  int wait_time(instant now) const;
+  poll_groups collect_descriptors();
+  void wait();
+  void handle_events(const poll_groups& groups);
+  void run_duties(instant now);
+  void log_beliefs();
+  void reload(bool signalled);
+
+  const value_map given_;
+  carried_settings settings_;
+  steering_engine engine_;
+  packet_path packets_;
+  source_choice sources_;
+  record_path records_;
+  std::optional<introductions> introductions_;
+  std::optional<page_server> peer_server_;
+  target_checks checks_;
+  page_server ready_server_;
+  std::optional<page_server> metrics_server_;
+  std::vector<pollfd> descriptors_;
+  instant now_;
+  instant started_;
+  instant next_tick_;
+  instant next_log_;
+  instant next_settings_check_;
+  std::optional<instant> leaving_since_;
+  int refusals_while_leaving_ = 0;
+  bool was_ready_ = false;
+};
 
 }
--- /dev/null
+++ b/programs/coltsfootlockd/carried/carried_mode.cpp
@@ -0,0 +1,72 @@
+#include "carried/carried_mode.h"
+
+#include "carried/carried_daemon.h"
+#include "carried/process_requests.h"
+#include "command_line.h"
+#include "exit_codes.h"
+
+#include "coltsfootlock/transport/log.h"
+
+#include <iostream>
+#include <utility>
+
+#include <unistd.h>
+
+namespace coltsfootlock {
+
+namespace {
+
+int
+fail(int code, const error& why)
+{
+  std::cerr << "coltsfootlockd: " << why.message << '\n';
+  return code;
+}
+
+}
+
+int
+run_carried_mode(const value_map& given, bool only_check)
+{
+  error why;
+  const auto values = effective_values(given, why);
+  const auto settings = values ? read_carried_settings(*values, why) : std::nullopt;
+  if (!settings) {
+    return fail(exit_wrong_settings, why);
+  }
+  if (only_check) {
+    std::cout << "The settings are valid.\n";
+    return 0;
+  }
+  process_requests::install_handlers();
+  auto socket = udp_socket::bind(settings->packet_address, why);
+  auto ready_server = socket ? page_server::listen(settings->ready_address, why) : std::nullopt;
+  if (!ready_server) {
+    return fail(exit_cannot_start, why);
+  }
+  start_unthreaded_log(STDOUT_FILENO, settings->lowest_level);
+  carried_daemon daemon(given, *settings, std::move(*socket), std::move(*ready_server));
+  if (settings->metrics_address) {
+    auto metrics_server = page_server::listen(*settings->metrics_address, why);
+    if (!metrics_server) {
+      return fail(exit_cannot_start, why);
+    }
+    daemon.serve_metrics(std::move(*metrics_server));
+  }
+  if (settings->call_address) {
+    auto peer_server = page_server::listen(*settings->call_address, why);
+    if (!peer_server) {
+      return fail(exit_cannot_start, why);
+    }
+    daemon.serve_peers(*settings->call_address, std::move(*peer_server));
+  }
+  write_log(log_level::info,
+            "daemon",
+            "starts vm=" + settings->steering.self + " domain=" + settings->steering.domain +
+              " packets=" + to_string(settings->packet_address) + " store=" + to_string(settings->platform));
+  daemon.run();
+  stop_log();
+  return 0;
+}
+
+}
--- a/programs/coltsfootlockd/main.cpp
+++ b/programs/coltsfootlockd/main.cpp
@@ -1,4 +1,4 @@
-#include "carried/carried_daemon.h"
+#include "carried/carried_mode.h"
 #include "command_line.h"
 #include "exit_codes.h"
 #include "recorded_mode.h"
