relay: encode answers to followers once; short lists of members

Changes are encoded once for all followers that need the same ones and found by binary search, a waiting follower costs nothing until the revision grows, and a seed tells at most eight members of a domain and how many there are.

--- a/include/coltsfootlock/coordination/steering/source_choice.h
+++ b/include/coltsfootlock/coordination/steering/source_choice.h
@@ -22,6 +22,15 @@
   auto operator<=>(const fleet_member&) const = default;
 };
 
+/// What a seed tells a daemon that introduces itself.
+struct fleet_introduction
+{
+  std::vector<fleet_member> members; ///< Some of the daemon's domain, and contacts in the others.
+  std::size_t daemons_in_domain = 0; ///< Of the daemon's domain, the daemon included.
+
+  auto operator<=>(const fleet_introduction&) const = default;
+};
+
 /// Chooses where a daemon reads the platform's records: from the store, or from another daemon of its domain.
 ///
 /// Load pattern: many daemons watch a store whose calls are dear and limited. One daemon of each domain, the first by a
@@ -48,13 +57,20 @@
 
   void on_member(const fleet_member& member, instant now);
 
+  /// Members of its own domain that a daemon is told about, the first by rank: enough to find another source when some
+  /// fail, without lists that grow with the fleet.
+  static constexpr std::size_t most_told_members = 8;
+
   /// Members of other domains that a daemon is told about, for when its own domain is cut off from the store.
   static constexpr std::size_t contacts_per_domain = 2;
 
-  /// Members of a domain and contacts in the others, for a daemon of that domain that asks.
-  std::vector<fleet_member> members_for(const std::string& domain, instant now) const;
+  /// The answer to a daemon of this domain that introduced itself with `on_member`.
+  fleet_introduction introduction_for(const std::string& domain, instant now) const;
+
+  /// The answer of a seed.
+  void on_introduced(const fleet_introduction& answer, instant now);
 
-  /// Daemons of the own domain that were heard of lately, this one included.
+  /// Daemons of the own domain, this one included, as far as this one was told or heard.
   std::size_t daemons_in_domain(instant now) const;
 
   /// The member to read from; empty if this daemon is to read the store.
@@ -81,12 +97,14 @@
     instant excluded_until;
   };
 
+  std::size_t heard_in(const std::string& domain, instant now) const;
   const member_state* best_member(bool own_domain, instant now) const;
 
   const std::string self_;
   const std::string domain_;
   const std::uint64_t self_rank_;
   std::map<std::string, member_state> members_;
+  std::size_t told_daemons_ = 1;
   instant next_introduction_;
 };
 
--- a/include/coltsfootlock/protocol/relay_codec.h
+++ b/include/coltsfootlock/protocol/relay_codec.h
@@ -10,11 +10,13 @@
 
 namespace coltsfootlock {
 
-/// Answers of one daemon to another that follows its records, as MessagePack.
+/// Changes as MessagePack. Apart from the rest of an answer, so that a daemon with many followers encodes them once.
 std::string
-encode_page(const record_page& page);
+encode_changes(const std::vector<record_change>& changes);
+
+/// An answer of one daemon to another that follows its records: a MessagePack map whose "changes" are encoded already.
 std::string
-encode_events(const record_events& events);
+encode_answer(const std::string& changes, std::uint64_t revision, const answer_age& age);
 
 /// An answer that cannot be read is a failed call.
 record_answer
@@ -23,10 +25,10 @@
 decode_events(std::string_view bytes);
 
 std::string
-encode_members(const std::vector<fleet_member>& members);
+encode_introduction(const fleet_introduction& answer);
 
-/// Empty with the reason in `why` if the bytes are no list of members.
-std::optional<std::vector<fleet_member>>
-decode_members(std::string_view bytes, error& why);
+/// Empty with the reason in `why` if the bytes are no such answer.
+std::optional<fleet_introduction>
+decode_introduction(std::string_view bytes, error& why);
 
 }
--- a/libraries/coordination/steering/record_book.cpp
+++ b/libraries/coordination/steering/record_book.cpp
@@ -97,11 +97,11 @@
   if (!complete_ || revision < changes_from_) {
     return std::nullopt;
   }
-  std::vector<record_change> result;
-  std::copy_if(changes_.begin(), changes_.end(), std::back_inserter(result), [revision](const record_change& change) {
-    return change.revision > revision;
-  });
-  return result;
+  const auto first =
+    std::upper_bound(changes_.begin(), changes_.end(), revision, [](std::uint64_t wanted, const record_change& kept) {
+      return wanted < kept.revision;
+    });
+  return std::vector<record_change>(first, changes_.end());
 }
 
 }
--- a/libraries/coordination/steering/source_choice.cpp
+++ b/libraries/coordination/steering/source_choice.cpp
@@ -31,8 +31,8 @@
   state.rank = rendezvous_score(hash_text(member.domain), member.id);
 }
 
-std::vector<fleet_member>
-source_choice::members_for(const std::string& domain, instant now) const
+fleet_introduction
+source_choice::introduction_for(const std::string& domain, instant now) const
 {
   std::vector<const member_state*> by_rank;
   for (const auto& [id, state] : members_) {
@@ -43,23 +43,40 @@
   std::sort(by_rank.begin(), by_rank.end(), [](const member_state* left, const member_state* right) {
     return left->rank > right->rank;
   });
-  std::vector<fleet_member> result;
+  fleet_introduction result;
+  result.daemons_in_domain = heard_in(domain, now) + (domain == domain_ ? 1 : 0);
   std::map<std::string, std::size_t> contacts;
   for (const member_state* state : by_rank) {
-    if (state->member.domain == domain || contacts[state->member.domain]++ < contacts_per_domain) {
-      result.push_back(state->member);
+    const std::size_t most = state->member.domain == domain ? most_told_members : contacts_per_domain;
+    if (contacts[state->member.domain]++ < most) {
+      result.members.push_back(state->member);
     }
   }
   return result;
 }
 
+void
+source_choice::on_introduced(const fleet_introduction& answer, instant now)
+{
+  told_daemons_ = answer.daemons_in_domain;
+  for (const fleet_member& member : answer.members) {
+    on_member(member, now);
+  }
+}
+
 std::size_t
-source_choice::daemons_in_domain(instant now) const
+source_choice::heard_in(const std::string& domain, instant now) const
 {
-  const auto others = std::count_if(members_.begin(), members_.end(), [this, now](const auto& entry) {
-    return entry.second.member.domain == domain_ && now - entry.second.heard <= member_lifetime;
+  const auto count = std::count_if(members_.begin(), members_.end(), [&domain, now](const auto& entry) {
+    return entry.second.member.domain == domain && now - entry.second.heard <= member_lifetime;
   });
-  return static_cast<std::size_t>(others) + 1;
+  return static_cast<std::size_t>(count);
+}
+
+std::size_t
+source_choice::daemons_in_domain(instant now) const
+{
+  return std::max(told_daemons_, heard_in(domain_, now) + 1);
 }
 
 const source_choice::member_state*
--- a/libraries/coordination/steering/tests/test_source_choice.cpp
+++ b/libraries/coordination/steering/tests/test_source_choice.cpp
@@ -125,7 +125,12 @@
     seed.on_member(member(number, "a"), now);
     seed.on_member(member(20 + number, "b"), now);
   }
-  BOOST_TEST(seed.members_for("a", now).size() == 10 + source_choice::contacts_per_domain);
+  const fleet_introduction told = seed.introduction_for("a", now);
+  BOOST_TEST(told.members.size() == source_choice::most_told_members + source_choice::contacts_per_domain);
+  BOOST_TEST(told.daemons_in_domain == 11U);
+  source_choice daemon("entry-3", "a");
+  daemon.on_introduced(told, now);
+  BOOST_TEST(daemon.daemons_in_domain(now) == 11U);
 }
 
 // The reader itself has nobody before it; when the store refuses it, it follows the next daemon.
--- a/libraries/protocol/relay_codec.cpp
+++ b/libraries/protocol/relay_codec.cpp
@@ -171,21 +171,6 @@
   return result;
 }
 
-std::string
-encode(const std::vector<record_change>& changes, std::uint64_t revision, const answer_age& age)
-{
-  json list = json::array();
-  for (const record_change& change : changes) {
-    json content = std::visit(content_encoder{}, change.content);
-    content["revision"] = change.revision;
-    list.push_back(std::move(content));
-  }
-  return to_bytes({ { "revision", revision },
-                    { "age_ms", age.records.count() },
-                    { "settle_ms", age.settle_left.count() },
-                    { "changes", std::move(list) } });
-}
-
 /// Fills an answer of either kind; false with the reason in `why` if the bytes cannot be read.
 bool
 decode(std::string_view bytes,
@@ -194,10 +179,18 @@
        answer_age& age,
        error& why)
 {
-  const json content = from_bytes(bytes, why);
+  json content = from_bytes(bytes, why);
   if (why.kind != error_kind::none) {
     return false;
   }
+  const auto encoded = content.find("changes");
+  if (encoded == content.end() || !encoded->is_binary()) {
+    why = { error_kind::wrong_type, "changes must be bytes; update the daemon" };
+    return false;
+  }
+  const auto& inner = encoded->get_binary();
+  json list = json::from_msgpack(inner.begin(), inner.end(), true, false);
+  *encoded = std::move(list);
   json_fields fields(content, "", why);
   revision = fields.number("revision", 0, largest_number);
   age.records = milliseconds(static_cast<milliseconds::rep>(fields.number("age_ms", 0, largest_number)));
@@ -212,15 +205,24 @@
 }
 
 std::string
-encode_page(const record_page& page)
+encode_changes(const std::vector<record_change>& changes)
 {
-  return encode(page.records, page.store_revision, page.age);
+  json list = json::array();
+  for (const record_change& change : changes) {
+    json content = std::visit(content_encoder{}, change.content);
+    content["revision"] = change.revision;
+    list.push_back(std::move(content));
+  }
+  return to_bytes(list);
 }
 
 std::string
-encode_events(const record_events& events)
+encode_answer(const std::string& changes, std::uint64_t revision, const answer_age& age)
 {
-  return encode(events.changes, events.store_revision, events.age);
+  return to_bytes({ { "revision", revision },
+                    { "age_ms", age.records.count() },
+                    { "settle_ms", age.settle_left.count() },
+                    { "changes", json::binary({ changes.begin(), changes.end() }) } });
 }
 
 record_answer
@@ -246,26 +248,27 @@
 }
 
 std::string
-encode_members(const std::vector<fleet_member>& members)
+encode_introduction(const fleet_introduction& answer)
 {
   json list = json::array();
-  for (const fleet_member& member : members) {
+  for (const fleet_member& member : answer.members) {
     list.push_back({ { "id", member.id }, { "domain", member.domain }, { "address", to_string(member.call_address) } });
   }
-  return to_bytes({ { "members", std::move(list) } });
+  return to_bytes({ { "members", std::move(list) }, { "daemons", answer.daemons_in_domain } });
 }
 
-std::optional<std::vector<fleet_member>>
-decode_members(std::string_view bytes, error& why)
+std::optional<fleet_introduction>
+decode_introduction(std::string_view bytes, error& why)
 {
   const json content = from_bytes(bytes, why);
   if (why.kind != error_kind::none) {
     return std::nullopt;
   }
-  std::vector<fleet_member> result;
+  fleet_introduction result;
   json_fields fields(content, "", why);
+  result.daemons_in_domain = fields.small_number("daemons", 0, most_elements);
   fields.each("members", most_elements, [&result](json_fields& member) {
-    result.push_back(
+    result.members.push_back(
       { member.text("id", longest_text), member.text("domain", longest_text), member.address("address") });
   });
   if (!fields.ok()) {
--- a/libraries/protocol/tests/test_relay_codec.cpp
+++ b/libraries/protocol/tests/test_relay_codec.cpp
@@ -50,19 +50,19 @@
 BOOST_AUTO_TEST_CASE(answers_arrive_as_they_were_sent)
 {
   const record_events events{ one_of_each_kind(), 12, { milliseconds(30), milliseconds(40) } };
-  BOOST_TEST((decode_events(encode_events(events)) == record_answer(events)));
+  const std::string bytes = encode_answer(encode_changes(events.changes), events.store_revision, events.age);
+  BOOST_TEST((decode_events(bytes) == record_answer(events)));
   const record_page page{ one_of_each_kind(), 12, "", false, { milliseconds(30), milliseconds(40) } };
-  BOOST_TEST((decode_page(encode_page(page)) == record_answer(page)));
-  const std::vector<fleet_member> members = { { "entry-1", "a", { 0x0a000001, 80 } } };
+  BOOST_TEST((decode_page(bytes) == record_answer(page)));
+  const fleet_introduction introduction{ { { "entry-1", "a", { 0x0a000001, 80 } } }, 17 };
   error why;
-  BOOST_TEST((decode_members(encode_members(members), why) == members));
+  BOOST_TEST((decode_introduction(encode_introduction(introduction), why) == introduction));
 }
 
 // Guards against a crash or a silently shortened list on bytes of another daemon version or a broken connection.
 BOOST_AUTO_TEST_CASE(damaged_answers_are_failed_calls)
 {
-  const record_events events{ one_of_each_kind(), 12, {} };
-  const std::string bytes = encode_events(events);
+  const std::string bytes = encode_answer(encode_changes(one_of_each_kind()), 12, {});
   for (std::size_t size = 0; size < bytes.size(); ++size) {
     BOOST_TEST(std::holds_alternative<call_failed>(decode_events(bytes.substr(0, size))), size);
   }
@@ -73,7 +73,7 @@
     decode_events(damaged); // Must not crash; a changed value cannot be told from a valid one.
   }
   error why;
-  BOOST_TEST(!decode_members("x", why).has_value());
+  BOOST_TEST(!decode_introduction("x", why).has_value());
   BOOST_TEST(!why.message.empty());
 }
 
--- a/programs/coltsfootlockd/carried/introductions.cpp
+++ b/programs/coltsfootlockd/carried/introductions.cpp
@@ -73,17 +73,15 @@
 introductions::on_answer(const http_answer& answer, instant now)
 {
   error why;
-  const auto members = decode_members(answer.body, why);
-  if (answer.status != 200 || !members) {
+  const auto introduced = decode_introduction(answer.body, why);
+  if (answer.status != 200 || !introduced) {
     write_log(log_level::warning,
               "members",
               "unusable answer seed=" + to_string(asked_) + " status=" + std::to_string(answer.status) + " reason=\"" +
                 why.message + "\"");
     return;
   }
-  for (const fleet_member& member : *members) {
-    sources_.on_member(member, now);
-  }
+  sources_.on_introduced(*introduced, now);
 }
 
 }
--- a/programs/coltsfootlockd/carried/peer_pages.cpp
+++ b/programs/coltsfootlockd/carried/peer_pages.cpp
@@ -3,6 +3,7 @@
 #include "coltsfootlock/protocol/relay_codec.h"
 
 #include <charconv>
+#include <memory>
 #include <optional>
 
 namespace coltsfootlock::peer_pages {
@@ -40,18 +41,22 @@
 }
 
 page
-list_page(const record_path& records, instant now)
+list_page(const record_path& records, encoded_changes& encoded, instant now)
 {
   const auto age = records.age(now);
-  auto all = records.book().all();
+  const auto all = encoded.all(records.book());
   if (!age || !all) {
     return { status_unavailable, "", "text/plain" };
   }
-  return { status_ok, encode_page({ std::move(*all), records.book().revision(), "", false, *age }), binary };
+  return { status_ok, encode_answer(*all, records.book().revision(), *age), binary };
 }
 
 std::optional<page>
-watch_page(const record_path& records, milliseconds oldest_records, const page_request& request, instant now)
+watch_page(const record_path& records,
+           encoded_changes& encoded,
+           milliseconds oldest_records,
+           const page_request& request,
+           instant now)
 {
   const auto after = number_of(request, "after");
   const auto wait = number_of(request, "wait");
@@ -62,15 +67,15 @@
   if (!age) {
     return page{ status_unavailable, "", "text/plain" };
   }
-  auto changes = records.book().since(*after);
-  if (!changes) {
-    return page{ status_gone, "", "text/plain" };
-  }
   const bool waited = now - request.arrived >= milliseconds(static_cast<milliseconds::rep>(*wait));
-  if (changes->empty() && !waited && age->records <= oldest_records) {
+  if (*after >= records.book().revision() && !waited && age->records <= oldest_records) {
     return std::nullopt;
   }
-  return page{ status_ok, encode_events({ std::move(*changes), records.book().revision(), *age }), binary };
+  const auto changes = encoded.since(records.book(), *after);
+  if (!changes) {
+    return page{ status_gone, "", "text/plain" };
+  }
+  return page{ status_ok, encode_answer(*changes, records.book().revision(), *age), binary };
 }
 
 page
@@ -82,9 +87,45 @@
     return { status_bad_request, "", "text/plain" };
   }
   sources.on_member(asker, now);
-  return { status_ok, encode_members(sources.members_for(asker.domain, now)), binary };
+  return { status_ok, encode_introduction(sources.introduction_for(asker.domain, now)), binary };
+}
+
+}
+
+void
+encoded_changes::forget_older(const record_book& book)
+{
+  if (book.revision() != revision_) {
+    revision_ = book.revision();
+    all_.reset();
+    since_.clear();
+  }
+}
+
+std::optional<std::string>
+encoded_changes::all(const record_book& book)
+{
+  forget_older(book);
+  if (!all_) {
+    const auto records = book.all();
+    all_ = records ? std::optional(encode_changes(*records)) : std::nullopt;
+  }
+  return all_;
 }
 
+std::optional<std::string>
+encoded_changes::since(const record_book& book, std::uint64_t revision)
+{
+  forget_older(book);
+  const auto found = since_.find(revision);
+  if (found != since_.end()) {
+    return found->second;
+  }
+  const auto changes = book.since(revision);
+  if (!changes) {
+    return std::nullopt;
+  }
+  return since_.emplace(revision, encode_changes(*changes)).first->second;
 }
 
 std::string
@@ -124,9 +165,11 @@
 void
 add_pages(page_server& server, const record_path& records, source_choice& sources, milliseconds oldest_records)
 {
-  server.add_page("/records/list", [&records](const page_request&, instant now) { return list_page(records, now); });
-  server.add_page("/records/watch", [&records, oldest_records](const page_request& request, instant now) {
-    return watch_page(records, oldest_records, request, now);
+  const auto encoded = std::make_shared<encoded_changes>();
+  server.add_page("/records/list",
+                  [&records, encoded](const page_request&, instant now) { return list_page(records, *encoded, now); });
+  server.add_page("/records/watch", [&records, encoded, oldest_records](const page_request& request, instant now) {
+    return watch_page(records, *encoded, oldest_records, request, now);
   });
   server.add_page("/members",
                   [&sources](const page_request& request, instant now) { return members_page(sources, request, now); });
--- a/programs/coltsfootlockd/carried/peer_pages.h
+++ b/programs/coltsfootlockd/carried/peer_pages.h
@@ -4,6 +4,9 @@
 
 #include "coltsfootlock/transport/page_server.h"
 
+#include <cstdint>
+#include <map>
+#include <optional>
 #include <string>
 
 namespace coltsfootlock::peer_pages {
@@ -20,6 +23,24 @@
 std::string
 introduction_target(const fleet_member& self);
 
+/// Answers that several followers get alike, encoded once.
+class encoded_changes
+{
+public:
+  /// All records; empty before they are known.
+  std::optional<std::string> all(const record_book& book);
+
+  /// The changes after a revision; empty if they are not kept.
+  std::optional<std::string> since(const record_book& book, std::uint64_t revision);
+
+private:
+  void forget_older(const record_book& book);
+
+  std::uint64_t revision_ = 0; ///< Of the book when the answers were encoded.
+  std::optional<std::string> all_;
+  std::map<std::uint64_t, std::string> since_; ///< By the revision that a follower has.
+};
+
 /// Adds the pages that other daemons read: records as a list and as changes, and the members of a domain.
 /// `oldest_records`: records beyond this age are told at once, so that the other daemon can look elsewhere.
 void
