Carried daemon: a backlog ends when the packet socket is empty, not when poll() names it as not ready

A stopped process comes back from poll() without any event, so the daemon took its socket for empty and the first packets that had waited in it for new ones. The socket is read after a pause in any case.

--- a/include/coltsfootlock/coordination/steering/steering_engine.h
+++ b/include/coltsfootlock/coordination/steering/steering_engine.h
@@ -56,6 +56,7 @@
   /// The process was paused until now; the packets that follow have waited until `on_backlog_end`.
   void on_pause(instant now);
   void on_backlog_end() { backlog_ = false; }
+  bool has_backlog() const { return backlog_; }
 
   steering_decision on_packet(const carried_packet& packet, instant now);
 
--- a/programs/coltsfootlockd/carried/carried_daemon.cpp
+++ b/programs/coltsfootlockd/carried/carried_daemon.cpp
@@ -169,10 +169,10 @@
 {
   const std::span<const pollfd> polled = descriptors_;
   const auto group = [&polled](std::size_t begin, std::size_t end) { return polled.subspan(begin, end - begin); };
-  if (any_ready(group(0, groups.records))) {
+  // poll() that a pause interrupted tells nothing about the socket.
+  const bool takes_packets = groups.records > 0;
+  if (takes_packets && (engine_.has_backlog() || any_ready(group(0, groups.records)))) {
     packets_.advance(records_.confirmed_at(), now_);
-  } else {
-    engine_.on_backlog_end();
   }
   const std::uint64_t revision = records_.book().revision();
   records_.advance(any_ready(group(groups.records, groups.introductions)), now_);
