--- a/include/coltsfootlock/coordination/steering/steering_timing.h
+++ b/include/coltsfootlock/coordination/steering/steering_timing.h
@@ -43,6 +43,10 @@
 /// Checks in a row without an answer that show a dead target: one may be the loss of a packet.
 inline constexpr unsigned silent_checks_of_dead_target = 2;
 
+/// A daemon that has started or was paused takes no silence for death for this long: all daemons may have started, and
+/// their checks of all targets at once overflow the targets' queues of new connections.
+inline constexpr milliseconds silence_proves_from{ 6000 };
+
 /// Pause after a check that was answered.
 inline constexpr milliseconds check_interval{ 1000 };
 
--- a/libraries/coordination/steering/target_loss_decisions.cpp
+++ b/libraries/coordination/steering/target_loss_decisions.cpp
@@ -68,7 +68,9 @@
   const bool waits = target->awaiting_flows > 0;
   const bool others_answer = now - last_domain_progress_ < steering_timing::recent_progress &&
                              last_domain_progress_ > std::max(target->awaiting_since, evidence_from_);
-  const bool gone_silent = target->silent_checks >= steering_timing::silent_checks_of_dead_target && others_answer;
+  const bool settled = now - evidence_from_ > steering_timing::silence_proves_from;
+  const bool gone_silent =
+    settled && others_answer && target->silent_checks >= steering_timing::silent_checks_of_dead_target;
   if (waits && (outcome == check_outcome::refused || gone_silent)) {
     target->dead = true;
     target->suspected_until = now + 2 * steering_timing::suspicion;
