relay: an answer without a rate of a cold start is refused instead of read beyond its fields

Cause, found by the address sanitizer on damaged answers (relay_codecs, damaged_answers_are_failed_calls): the rate was read from a constant map without checking that it is there. The test fails under the sanitizer without the change.

--- a/libraries/protocol/relay_codec.cpp
+++ b/libraries/protocol/relay_codec.cpp
@@ -140,8 +140,13 @@
   fields.each("services", most_elements, [&](json_fields& entry) { value->services.push_back(decode_service(entry)); });
   std::size_t position = 0;
   fields.each("cold_starts", most_elements, [&](json_fields& entry) {
-    const json& rate = content["cold_starts"][position++]["opens_per_second"];
-    value->cold_starts.push_back({ entry.text("group", longest_text), rate.is_number() ? rate.get<double>() : 0.0 });
+    const json& item = content["cold_starts"][position++];
+    const auto rate = item.find("opens_per_second");
+    if (rate == item.end() || !rate->is_number()) {
+      entry.fail(error_kind::missing_field, "opens_per_second", "must be a number");
+      return;
+    }
+    value->cold_starts.push_back({ entry.text("group", longest_text), rate->get<double>() });
   });
   return { std::move(value) };
 }
