Read the settings file once at start; remove what nothing uses

main read the file to learn the kind of routing, and the carried mode read and parsed it again at each start. A factor of 1 and an unused type of the soak go.

--- a/libraries/coordination/steering/steering_engine.cpp
+++ b/libraries/coordination/steering/steering_engine.cpp
@@ -10,9 +10,6 @@
 
 namespace {
 
-/// Targets and flows stay known for this many flow lifetimes after their end, so that late packets find them.
-constexpr int retained_lifetimes = 1;
-
 std::string
 cold_rates_text(const catalogue& value)
 {
@@ -192,7 +189,7 @@
 {
   isolation_.tick(records_are_fresh(now), now);
   std::vector<reset_flow> resets;
-  targets_.tick(retained_lifetimes * settings_.flow_lifetime, now);
+  targets_.tick(settings_.flow_lifetime, now); // Late packets of their flows still find them.
   bool lost = !restarted_.empty() || std::exchange(found_dead_, false);
   targets_.for_each([&](const known_target& target) {
     lost = lost || (target.phase == target_phase::gone && target.open_flows > 0 && is_quiet(target, now));
--- a/programs/coltsfootlockd/carried/carried_mode.cpp
+++ b/programs/coltsfootlockd/carried/carried_mode.cpp
@@ -2,7 +2,6 @@
 
 #include "carried/carried_daemon.h"
 #include "carried/process_requests.h"
-#include "command_line.h"
 #include "exit_codes.h"
 
 #include "coltsfootlock/transport/log.h"
@@ -26,11 +25,10 @@
 }
 
 int
-run_carried_mode(const value_map& given, bool only_check)
+run_carried_mode(const value_map& given, const value_map& values, bool only_check)
 {
   error why;
-  const auto values = effective_values(given, why);
-  const auto settings = values ? read_carried_settings(*values, why) : std::nullopt;
+  const auto settings = read_carried_settings(values, why);
   if (!settings) {
     return fail(exit_wrong_settings, why);
   }
--- a/programs/coltsfootlockd/main.cpp
+++ b/programs/coltsfootlockd/main.cpp
@@ -67,5 +67,5 @@
   if (routing->second != "carried") {
     return fail(exit_wrong_settings, wrong_value("flow-routing", routing->second, "give recorded or carried"));
   }
-  return run_carried_mode(command->values, only_check);
+  return run_carried_mode(command->values, *values, only_check);
 }
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -61,11 +61,6 @@
     bool end_expected = false;
     instant disturbed_until;
   };
-  struct timed_action
-  {
-    std::string name;
-    std::function<void()> run;
-  };
 
   endpoint address(std::uint8_t group, std::uint8_t number, std::uint16_t port) const;
   std::size_t pick(std::size_t count);
