Reachability checks: the descriptor is asked at the deadline, and the time counts from the attempt

Ruled out: a frozen process (rounds beyond 800 ms void what was seen), too many checks at once (those beyond 64 count as answered).

--- a/include/coltsfootlock/transport/connection_attempt.h
+++ b/include/coltsfootlock/transport/connection_attempt.h
@@ -32,7 +32,6 @@
   /// For poll(), with POLLOUT; -1 if the attempt is over.
   int descriptor() const { return descriptor_; }
 
-  /// To be asked when the descriptor is ready.
   progress state() const;
 
 private:
--- a/libraries/transport/connection_attempt.cpp
+++ b/libraries/transport/connection_attempt.cpp
@@ -5,6 +5,7 @@
 #include <cerrno>
 #include <utility>
 
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -51,6 +52,10 @@
   if (descriptor_ < 0) {
     return failure_;
   }
+  pollfd wanted{ descriptor_, POLLOUT, 0 };
+  if (::poll(&wanted, 1, 0) == 0) {
+    return progress::waiting;
+  }
   int problem = 0;
   socklen_t length = sizeof(problem);
   if (::getsockopt(descriptor_, SOL_SOCKET, SO_ERROR, &problem, &length) != 0) {
--- a/programs/coltsfootlockd/carried/carried_daemon.cpp
+++ b/programs/coltsfootlockd/carried/carried_daemon.cpp
@@ -180,7 +180,9 @@
   if (introductions_) {
     introductions_->advance(any_ready(group(groups.introductions, groups.checks)), now_);
   }
-  checks_.advance(group(groups.checks, groups.ready), engine_, now_);
+  for (const check_result& check : checks_.advance(group(groups.checks, groups.ready), now_)) {
+    engine_.on_check(check.target, check.outcome, now_);
+  }
   const bool tick_due = now_ >= next_tick_;
   const auto serve = [this, tick_due](page_server& server, std::span<const pollfd> waited, bool news) {
     if (tick_due || news || any_ready(waited)) {
@@ -259,7 +261,7 @@
     const std::vector<reset_flow> resets = engine_.tick(now);
     log_beliefs(); // Before the resets that follow from them.
     packets_.send_resets(resets, now);
-    checks_.start(engine_.take_checks(now), now);
+    checks_.start(engine_.take_checks(now), boot_clock_now()); // The duties before may have taken a while.
   }
   log_beliefs();
   if (now >= next_log_) {
--- a/programs/coltsfootlockd/carried/target_checks.cpp
+++ b/programs/coltsfootlockd/carried/target_checks.cpp
@@ -6,6 +6,26 @@
 
 namespace coltsfootlock {
 
+namespace {
+
+/// The outcome of an attempt that is over or whose time is over.
+check_outcome
+outcome_of(connection_attempt::progress state)
+{
+  switch (state) {
+    case connection_attempt::progress::waiting:
+      return check_outcome::silent;
+    case connection_attempt::progress::refused:
+      return check_outcome::refused;
+    case connection_attempt::progress::connected:
+    case connection_attempt::progress::failed: // What this VM could not try proves nothing about the target.
+      break;
+  }
+  return check_outcome::accepted;
+}
+
+}
+
 void
 target_checks::start(const std::vector<reachability_check>& checks, instant now)
 {
@@ -24,34 +44,27 @@
   }
 }
 
-void
-target_checks::advance(std::span<const pollfd> polled, steering_engine& engine, instant now)
+std::vector<check_result>
+target_checks::advance(std::span<const pollfd> polled, instant now)
 {
+  std::vector<check_result> results;
   std::size_t position = 0;
   std::erase_if(running_, [&](const running_check& check) {
     const bool ready = position < polled.size() && polled[position].revents != 0;
     ++position;
-    const auto state =
-      ready || !check.attempt.is_open() ? check.attempt.state() : connection_attempt::progress::waiting;
-    if (state == connection_attempt::progress::connected) {
-      engine.on_check(check.target, check_outcome::accepted, now);
-      return true;
-    }
-    if (state == connection_attempt::progress::refused) {
-      engine.on_check(check.target, check_outcome::refused, now);
-      return true;
-    }
-    // An attempt that this VM could not make proves nothing about the target.
-    if (state == connection_attempt::progress::failed) {
-      engine.on_check(check.target, check_outcome::accepted, now);
-      return true;
+    const bool late = now >= check.deadline;
+    if (!ready && !late && check.attempt.is_open()) {
+      return false;
     }
-    if (now >= check.deadline) {
-      engine.on_check(check.target, check_outcome::silent, now);
-      return true;
+    // poll() may have returned long before the deadline, on a VM that then waited for its part of a core.
+    const auto state = check.attempt.state();
+    if (state == connection_attempt::progress::waiting && !late) {
+      return false;
     }
-    return false;
+    results.push_back({ check.target, outcome_of(state) });
+    return true;
   });
+  return results;
 }
 
 }
--- a/programs/coltsfootlockd/carried/target_checks.h
+++ b/programs/coltsfootlockd/carried/target_checks.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "coltsfootlock/coordination/steering/steering_engine.h"
+#include "coltsfootlock/coordination/steering/reachability_check.h"
+#include "coltsfootlock/state/time.h"
 #include "coltsfootlock/transport/connection_attempt.h"
 
 #include <span>
@@ -10,7 +11,15 @@
 
 namespace coltsfootlock {
 
-/// Opens connections to targets that the engine wants checked, and tells it the outcomes.
+struct check_result
+{
+  vm_id target;
+  check_outcome outcome = check_outcome::accepted;
+
+  auto operator<=>(const check_result&) const = default;
+};
+
+/// Opens connections to targets that the engine wants checked.
 class target_checks
 {
 public:
@@ -18,8 +27,8 @@
 
   void add_descriptors(std::vector<pollfd>& wanted) const;
 
-  /// `polled`: the descriptors of the last `add_descriptors` after poll().
-  void advance(std::span<const pollfd> polled, steering_engine& engine, instant now);
+  /// The checks that are over. `polled`: the descriptors of the last `add_descriptors` after poll().
+  std::vector<check_result> advance(std::span<const pollfd> polled, instant now);
 
 private:
   /// Checks at once; each holds a descriptor.
