Start: a list that has begun is read to its end, and its pages do not delay the next watches

Cause, from a trial with 1,000 targets and 84 daemons that are all killed: between two pages of the store's list a daemon learned of a peer, asked it, got 503 since that one was listing too, left it out for 4 s, tried the next one, and began the list anew: 82 changes of the source, lists complete 0.14 to 1.32 s after the start, hierarchies that differ for 4 s. Besides, each page was paid from the budget of 2 calls a second, so that a reader with 60 pages would not watch for 29 s. Ruled out: the size of the relayed lists (rows of 55 bytes), the store (7 ms a page). Change: no other source between two pages; a watch at a daemon without a complete list waits its time before the 503; the debt for pages is one pause.

--- a/include/coltsfootlock/coordination/steering/record_book.h
+++ b/include/coltsfootlock/coordination/steering/record_book.h
@@ -38,6 +38,9 @@
 
   std::uint64_t revision() const { return revision_; }
 
+  /// False before the first list and while a further one comes in.
+  bool complete() const { return complete_; }
+
 private:
   struct entry
   {
--- a/include/coltsfootlock/coordination/steering/record_follower.h
+++ b/include/coltsfootlock/coordination/steering/record_follower.h
@@ -86,6 +86,9 @@
   /// When the daemon last knew everything; empty until the first list is complete.
   std::optional<instant> confirmed_at() const { return confirmed_at_; }
 
+  /// Pages of a list are known and others are missing: whoever answers next has to be the one that sent them.
+  bool within_list() const { return !list_after_.empty(); }
+
   /// Until when a missing record may be a consequence of an outage.
   instant settles_at() const { return settles_at_; }
 
--- a/libraries/coordination/steering/record_follower.cpp
+++ b/libraries/coordination/steering/record_follower.cpp
@@ -16,7 +16,9 @@
 record_follower::spend(instant now)
 {
   const std::chrono::duration<double> passed = now - calls_counted_;
-  calls_left_ = std::min(settings_.call_burst, calls_left_ + passed.count() * settings_.calls_per_second) - 1;
+  calls_left_ = std::min(settings_.call_burst, calls_left_ + passed.count() * settings_.calls_per_second);
+  // The pages of a long list need more calls than there are; the next watch does not wait for all of them.
+  calls_left_ = std::max(calls_left_ - 1, 0.0);
   calls_counted_ = now;
   if (calls_left_ >= 1) {
     wakes_at_ = now;
--- a/libraries/coordination/steering/tests/test_record_follower.cpp
+++ b/libraries/coordination/steering/tests/test_record_follower.cpp
@@ -47,6 +47,26 @@
   BOOST_TEST(std::get<watch_call>(call()).after == 50U);
 }
 
+// Load pattern: 3,000 targets in 60 pages. A reader that pays for all of them before its next watch knows nothing new
+// for half a minute.
+BOOST_AUTO_TEST_CASE(a_long_list_delays_the_next_watches_by_a_single_pause_each)
+{
+  for (int page = 1; page < 60; ++page) {
+    call();
+    follower.on_answer(record_page{ {}, 50, "k" + std::to_string(page), true, {} }, now);
+    BOOST_TEST(follower.within_list());
+    now += milliseconds(7);
+  }
+  list(50);
+  BOOST_TEST(!follower.within_list());
+  for (int watch = 0; watch < 3; ++watch) {
+    call();
+    follower.on_answer(record_events{ {}, 50, {} }, now);
+    BOOST_TEST((follower.wakes_at() - now <= milliseconds(500)));
+    now = std::max(now, follower.wakes_at());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_forgotten_history_is_replaced_by_a_list)
 {
   list(50);
--- a/programs/coltsfootlockd/carried/peer_pages.cpp
+++ b/programs/coltsfootlockd/carried/peer_pages.cpp
@@ -64,11 +64,13 @@
   if (!after || !wait || *wait > longest_wait_ms) {
     return page{ status_bad_request, "", "text/plain" };
   }
+  const waiting_follower follower{ *after, request.arrived, milliseconds(static_cast<milliseconds::rep>(*wait)) };
   const auto age = records.age(now);
-  if (!age) {
-    return page{ status_unavailable, "", "text/plain" };
+  if (!age || !records.book().complete()) {
+    // All daemons of a domain may have started, and this one is a few pages of the list behind its follower.
+    const bool waits = now - follower.asked_at < follower.longest_wait;
+    return waits ? std::nullopt : std::optional(page{ status_unavailable, "", "text/plain" });
   }
-  const waiting_follower follower{ *after, request.arrived, milliseconds(static_cast<milliseconds::rep>(*wait)) };
   const relayed_records known{ records.book().revision(), age->records, records.renewed_at() };
   if (!answer_is_due(follower, known, oldest_records, now)) {
     return std::nullopt;
--- a/programs/coltsfootlockd/carried/record_path.cpp
+++ b/programs/coltsfootlockd/carried/record_path.cpp
@@ -96,6 +96,9 @@
 void
 record_path::choose_source(instant now)
 {
+  if (follower_.within_list()) {
+    return;
+  }
   auto wanted = sources_.peer(now);
   if (!wanted && follower_.failures() >= failures_before_fallback && now < store_retry_at_) {
     wanted = sources_.fallback(now);
