--- a/include/coltsfootlock/coordination/steering/flow_notes.h
+++ b/include/coltsfootlock/coordination/steering/flow_notes.h
@@ -47,22 +47,14 @@
 
   void erase(const flow_key& key);
 
-  /// Visits the notes of the flows from one address of callers to one service.
-  void for_each_of_caller(std::uint32_t caller_address,
-                          const endpoint& service,
-                          const std::function<void(const flow_note&)>& visit) const;
-
   /// Erases the notes for which `wanted` returns true.
   void erase_if(const std::function<bool(const flow_key&, const flow_note&)>& wanted);
 
   std::size_t size() const { return notes_.size(); }
 
 private:
-  void unlist(const flow_key& key);
-
   std::size_t most_;
   std::unordered_map<flow_key, flow_note, flow_key_hash> notes_;
-  std::unordered_map<std::uint32_t, std::vector<flow_key>> by_caller_; ///< By the caller's address.
 };
 
 }
--- a/include/coltsfootlock/coordination/steering/flow_placement.h
+++ b/include/coltsfootlock/coordination/steering/flow_placement.h
@@ -24,8 +24,6 @@
   placement_condition condition = placement_condition::serving;
   /// A first packet to it has waited for an answer for longer than a live target takes.
   bool owes_answer = false;
-  /// The same caller waits for it on another flow; the new flow may be a retry of what it failed to do.
-  bool caller_waits = false;
   std::uint32_t open_flows = 0; ///< Known to this daemon.
   std::uint32_t slots = 1;
   std::uint64_t preference = 0; ///< Decides between equals; differs between daemons.
--- a/include/coltsfootlock/coordination/steering/steering_engine.h
+++ b/include/coltsfootlock/coordination/steering/steering_engine.h
@@ -130,7 +130,6 @@
   std::vector<belief_change> beliefs_;
   std::vector<placement_candidate> candidates_; ///< Kept to avoid an allocation per flow.
   std::vector<vm_id> restarted_;
-  std::vector<vm_id> waited_for_; ///< Kept like the candidates.
 };
 
 }
--- a/libraries/coordination/steering/flow_opening_decisions.cpp
+++ b/libraries/coordination/steering/flow_opening_decisions.cpp
@@ -89,12 +89,6 @@
     return records_are_fresh(now) ? reset(flow_end_reason::no_service, packet, {}) : drop(drop_reason::stale_records);
   }
   const auto& targets = targets_.of_group(services_.group_for(*wanted, packet.flow));
-  waited_for_.clear();
-  flows_.for_each_of_caller(packet.flow.caller.address, packet.flow.service, [this](const flow_note& note) {
-    if (!note.closing && (!note.answered || note.awaits_answer)) {
-      waited_for_.push_back(note.target);
-    }
-  });
   candidates_.clear();
   for (std::size_t index = 0; index < targets.size(); ++index) {
     known_target& target = *targets[index];
@@ -108,7 +102,6 @@
                             target.record.vm.domain == settings_.domain,
                             was_silent ? placement_condition::doubtful : *condition,
                             target.pending_opens > 0 && now - target.pending_since > steering_timing::usual_answer_time,
-                            std::find(waited_for_.begin(), waited_for_.end(), target.record.vm.id) != waited_for_.end(),
                             target.open_flows,
                             target.record.slots,
                             self_hash_ ^ (target.record.tag * 0x9e3779b97f4a7c15ULL) });
--- a/libraries/coordination/steering/flow_placement.cpp
+++ b/libraries/coordination/steering/flow_placement.cpp
@@ -40,9 +40,6 @@
   if (left.own_domain != right.own_domain) {
     return left.own_domain;
   }
-  if (left.caller_waits != right.caller_waits) {
-    return right.caller_waits;
-  }
   // Compares open_flows / slots without division.
   const auto left_load = static_cast<std::uint64_t>(left.open_flows) * std::max(right.slots, 1U);
   const auto right_load = static_cast<std::uint64_t>(right.open_flows) * std::max(left.slots, 1U);
