--- a/include/coltsfootlock/coordination/steering/record_follower.h
+++ b/include/coltsfootlock/coordination/steering/record_follower.h
@@ -86,7 +86,7 @@
   /// When the daemon last knew everything; empty until the first list is complete.
   std::optional<instant> confirmed_at() const { return confirmed_at_; }
 
-  /// Pages of a list are known and others are missing: whoever answers next has to be the one that sent them.
+  /// Pages of a list are known and others are missing; with another source the list begins anew.
   bool within_list() const { return !list_after_.empty(); }
 
   /// Until when a missing record may be a consequence of an outage.
--- a/include/coltsfootlock/coordination/steering/source_choice.h
+++ b/include/coltsfootlock/coordination/steering/source_choice.h
@@ -85,6 +85,9 @@
   /// Daemons of the own domain, this one included, as far as this one was told or heard.
   std::size_t daemons_in_domain(instant now) const;
 
+  /// True if the domain has relays.
+  bool domain_is_large(instant now) const { return daemons_in_domain(now) > most_followers; }
+
   /// The member to read from; empty if this daemon is to read the store.
   std::optional<fleet_member> peer(instant now) const;
 
--- a/libraries/coordination/steering/source_choice.cpp
+++ b/libraries/coordination/steering/source_choice.cpp
@@ -146,8 +146,7 @@
   if (reader == nullptr || reader->rank <= self_rank_) {
     return std::nullopt;
   }
-  const bool large = daemons_in_domain(now) > most_followers;
-  const member_state* chosen = large ? relay(*reader, now) : nullptr;
+  const member_state* chosen = domain_is_large(now) ? relay(*reader, now) : nullptr;
   return chosen != nullptr ? chosen->member : reader->member;
 }
 
--- a/libraries/coordination/steering/tests/test_source_choice.cpp
+++ b/libraries/coordination/steering/tests/test_source_choice.cpp
@@ -150,6 +150,10 @@
       seed.on_member(member(number), now);
     }
     const fleet_introduction told = seed.introduction_for("a", now);
+    source_choice first(member(0).id, "a");
+    BOOST_TEST(!first.domain_is_large(now));
+    first.on_introduced(told, now);
+    BOOST_TEST(first.domain_is_large(now));
     std::map<std::string, std::string> followed;
     std::map<std::string, std::size_t> followers;
     std::size_t reading = 0;
--- a/programs/coltsfootlockd/carried/record_path.cpp
+++ b/programs/coltsfootlockd/carried/record_path.cpp
@@ -96,7 +96,8 @@
 void
 record_path::choose_source(instant now)
 {
-  if (follower_.within_list()) {
+  // The pages of all daemons of a large domain are more calls than the store takes.
+  if (follower_.within_list() && !sources_.domain_is_large(now)) {
     return;
   }
   auto wanted = sources_.peer(now);
