A refused page of a list is asked for again, instead of the list from its first page

Ruled out: that a list of pages from different times is wrong: changes since its first page are watched for in any case. Test: a refused page is asked for again; it fails on the old code. Another source may still be chosen after the refusal.

--- a/include/coltsfootlock/coordination/steering/flow_notes.h
+++ b/include/coltsfootlock/coordination/steering/flow_notes.h
@@ -7,7 +7,6 @@
 #include <cstddef>
 #include <functional>
 #include <unordered_map>
-#include <vector>
 
 namespace coltsfootlock {
 
--- a/include/coltsfootlock/coordination/steering/record_follower.h
+++ b/include/coltsfootlock/coordination/steering/record_follower.h
@@ -86,8 +86,8 @@
   /// When the daemon last knew everything; empty until the first list is complete.
   std::optional<instant> confirmed_at() const { return confirmed_at_; }
 
-  /// Pages of a list are known and others are missing; with another source the list begins anew.
-  bool within_list() const { return !list_after_.empty(); }
+  /// Pages of a list are known and others come; with another source the list begins anew.
+  bool within_list() const { return !list_after_.empty() && failures_ == 0; }
 
   /// Until when a missing record may be a consequence of an outage.
   instant settles_at() const { return settles_at_; }
--- a/libraries/coordination/steering/record_follower.cpp
+++ b/libraries/coordination/steering/record_follower.cpp
@@ -137,9 +137,6 @@
   progress result;
   result.lost = failures_ == 0;
   ++failures_;
-  if (listing_) {
-    list_after_.clear();
-  }
   if (failures_ == 1) {
     wakes_at_ = now;
     return result;
--- a/libraries/coordination/steering/tests/test_record_follower.cpp
+++ b/libraries/coordination/steering/tests/test_record_follower.cpp
@@ -67,6 +67,22 @@
   }
 }
 
+// Load pattern: many daemons start at once, and the store refuses calls beyond its rate. If each began its list anew,
+// they would never get below that rate.
+BOOST_AUTO_TEST_CASE(a_refused_page_is_asked_for_again)
+{
+  call();
+  follower.on_answer(record_page{ {}, 50, "k", true, {} }, now);
+  call();
+  follower.on_answer(failure, now);
+  BOOST_TEST(!follower.within_list()); // Another source may be better now.
+  BOOST_TEST((std::get<list_call>(call()) == list_call{ "k" }));
+  follower.on_answer(record_page{ {}, 60, "m", true, {} }, now);
+  BOOST_TEST(follower.within_list());
+  const auto from_peer = follower.next_call(true, now);
+  BOOST_TEST((std::get<list_call>(from_peer->call) == list_call{ "" }));
+}
+
 BOOST_AUTO_TEST_CASE(a_forgotten_history_is_replaced_by_a_list)
 {
   list(50);
