--- a/programs/coltsfootlockd/carried/record_path.cpp
+++ b/programs/coltsfootlockd/carried/record_path.cpp
@@ -96,7 +96,7 @@
 void
 record_path::choose_source(instant now)
 {
-  // The pages of all daemons of a large domain are more calls than the store takes.
+  // In a large domain the store's link carries too many lists at once, and a peer's list is shorter.
   if (follower_.within_list() && !sources_.domain_is_large(now)) {
     return;
   }
