A target that comes back one revision after a list without it is present

After a cut of a domain its targets had lapsed, the store had forgotten its history, and the daemons of the domain took a list. Missing targets were marked as removed at the list's revision plus one, so that their return at just that revision counted as old. They stayed lapsed, then gone, and two heartbeats later their idle flows were reset. Change: missing targets are marked at the list's own revision. Test: fails on the old code with the same resets.

--- a/libraries/coordination/steering/target_directory.cpp
+++ b/libraries/coordination/steering/target_directory.cpp
@@ -161,7 +161,8 @@
     if (target.snapshot == snapshot_ || target.revision > revision) {
       continue;
     }
-    missing += remove(id, revision + 1, settles_at, now) ? 1 : 0;
+    // Not at a later revision: the record may come back with the very next one.
+    missing += remove(id, revision, settles_at, now) ? 1 : 0;
   }
   return missing;
 }
--- a/libraries/coordination/steering/tests/test_steering_engine.cpp
+++ b/libraries/coordination/steering/tests/test_steering_engine.cpp
@@ -244,6 +244,22 @@
   BOOST_TEST(unserved == 0);
 }
 
+// Hunt of trolley-hub, mix --seed 701934367316: after a cut a list lacked the domain's targets, which came back one
+// revision later. They were taken for gone, and their flows were reset.
+BOOST_AUTO_TEST_CASE(a_target_that_comes_back_right_after_a_list_without_it_is_present)
+{
+  publish(make_target(1, "a"));
+  const flow_key flow = flow_of(1, 1);
+  establish(flow);
+  ++revision; // Another record's change, up to which the list is complete.
+  settles_at = now + milliseconds(2500);
+  engine.on_snapshot_begin();
+  complete();
+  publish(make_target(1, "a"));
+  BOOST_TEST(pass(milliseconds(8000)).empty());
+  BOOST_TEST(tag_of(open(flow_of(2, 2))) == 1U);
+}
+
 // Load pattern: a target dies silently while callers wait. They are told when its record goes.
 BOOST_AUTO_TEST_CASE(flows_of_a_target_that_is_gone_are_reset)
 {
