One owner for descriptors, one way to report why the daemon ends

udp_socket, tcp_stream and connection_attempt each wrote the same move, swap and close of a descriptor: owned_descriptor does it now. Behaviour is as before.

--- a/include/coltsfootlock/transport/connection_attempt.h
+++ b/include/coltsfootlock/transport/connection_attempt.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coltsfootlock/state/endpoint.h"
+#include "coltsfootlock/transport/owned_descriptor.h"
 
 #include <cstdint>
 
@@ -21,21 +22,16 @@
   /// An attempt that has failed.
   connection_attempt() = default;
   explicit connection_attempt(const endpoint& server);
-  connection_attempt(connection_attempt&& other) noexcept;
-  connection_attempt& operator=(connection_attempt&& other) noexcept;
-  connection_attempt(const connection_attempt&) = delete;
-  connection_attempt& operator=(const connection_attempt&) = delete;
-  ~connection_attempt();
 
-  bool is_open() const { return descriptor_ >= 0; }
+  bool is_open() const { return descriptor_.is_open(); }
 
   /// For poll(), with POLLOUT; -1 if the attempt is over.
-  int descriptor() const { return descriptor_; }
+  int descriptor() const { return descriptor_.get(); }
 
   progress state() const;
 
 private:
-  int descriptor_ = -1;
+  owned_descriptor descriptor_;
   progress failure_ = progress::failed; ///< The state without a descriptor.
 };
 
--- a/include/coltsfootlock/transport/udp_socket.h
+++ b/include/coltsfootlock/transport/udp_socket.h
@@ -2,6 +2,7 @@
 
 #include "coltsfootlock/state/endpoint.h"
 #include "coltsfootlock/state/error.h"
+#include "coltsfootlock/transport/owned_descriptor.h"
 
 #include <cstddef>
 #include <optional>
@@ -24,12 +25,6 @@
   /// Binds to `local`; port 0 takes a free port. Empty with the reason in `why` on failure.
   static std::optional<udp_socket> bind(const endpoint& local, error& why);
 
-  udp_socket(udp_socket&& other) noexcept;
-  udp_socket& operator=(udp_socket&& other) noexcept;
-  udp_socket(const udp_socket&) = delete;
-  udp_socket& operator=(const udp_socket&) = delete;
-  ~udp_socket();
-
   /// The bound address, with the actual port.
   endpoint local() const;
 
@@ -46,9 +41,9 @@
   std::optional<std::size_t> receive_into(std::span<char> memory);
 
 private:
-  explicit udp_socket(int descriptor);
+  explicit udp_socket(owned_descriptor descriptor);
 
-  int descriptor_ = -1;
+  owned_descriptor descriptor_;
 };
 
 }
--- a/libraries/transport/page_server.cpp
+++ b/libraries/transport/page_server.cpp
@@ -155,10 +155,7 @@
 endpoint
 page_server::local() const
 {
-  sockaddr_in system{};
-  socklen_t length = sizeof(system);
-  ::getsockname(implementation_->listener.descriptor(), reinterpret_cast<sockaddr*>(&system), &length);
-  return { ntohl(system.sin_addr.s_addr), ntohs(system.sin_port) };
+  return bound_address(implementation_->listener.descriptor());
 }
 
 void
--- a/libraries/transport/tcp_stream.cpp
+++ b/libraries/transport/tcp_stream.cpp
@@ -3,12 +3,10 @@
 #include "socket_address.h"
 
 #include <cerrno>
-#include <utility>
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 namespace coltsfootlock {
 
@@ -17,31 +15,6 @@
 {
 }
 
-tcp_stream::tcp_stream(tcp_stream&& other) noexcept
-  : descriptor_(std::exchange(other.descriptor_, -1))
-{
-}
-
-tcp_stream&
-tcp_stream::operator=(tcp_stream&& other) noexcept
-{
-  std::swap(descriptor_, other.descriptor_);
-  return *this;
-}
-
-tcp_stream::~tcp_stream()
-{
-  close();
-}
-
-void
-tcp_stream::close()
-{
-  if (descriptor_ >= 0) {
-    ::close(std::exchange(descriptor_, -1));
-  }
-}
-
 tcp_stream
 tcp_stream::connect(const endpoint& server)
 {
@@ -50,9 +23,9 @@
     return result;
   }
   const int on = 1;
-  ::setsockopt(result.descriptor_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  ::setsockopt(result.descriptor(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
   const sockaddr_in address = to_socket_address(server);
-  if (::connect(result.descriptor_, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0 &&
+  if (::connect(result.descriptor(), reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0 &&
       errno != EINPROGRESS) {
     result.close();
   }
@@ -63,7 +36,7 @@
 tcp_stream::write(std::string& bytes)
 {
   while (!bytes.empty()) {
-    const ssize_t sent = ::send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    const ssize_t sent = ::send(descriptor(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
     if (sent < 0 && errno == EINTR) {
       continue;
     }
@@ -79,7 +52,7 @@
 tcp_stream::state
 tcp_stream::read(char* memory, std::size_t capacity, std::size_t& size)
 {
-  const ssize_t received = ::recv(descriptor_, memory, capacity, 0);
+  const ssize_t received = ::recv(descriptor(), memory, capacity, 0);
   if (received > 0) {
     size = static_cast<std::size_t>(received);
     return state::done;
--- a/libraries/transport/tcp_stream.h
+++ b/libraries/transport/tcp_stream.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coltsfootlock/state/endpoint.h"
+#include "coltsfootlock/transport/owned_descriptor.h"
 
 #include <cstddef>
 #include <string>
@@ -21,18 +22,13 @@
   tcp_stream() = default;
   /// Takes over a connected descriptor.
   explicit tcp_stream(int descriptor);
-  tcp_stream(tcp_stream&& other) noexcept;
-  tcp_stream& operator=(tcp_stream&& other) noexcept;
-  tcp_stream(const tcp_stream&) = delete;
-  tcp_stream& operator=(const tcp_stream&) = delete;
-  ~tcp_stream();
 
   /// Begins to connect; not open if that failed at once.
   static tcp_stream connect(const endpoint& server);
 
-  bool is_open() const { return descriptor_ >= 0; }
-  int descriptor() const { return descriptor_; }
-  void close();
+  bool is_open() const { return descriptor_.is_open(); }
+  int descriptor() const { return descriptor_.get(); }
+  void close() { descriptor_.close(); }
 
   /// Sends from the front of `bytes` and erases what was taken.
   state write(std::string& bytes);
@@ -41,7 +37,7 @@
   state read(char* memory, std::size_t capacity, std::size_t& size);
 
 private:
-  int descriptor_ = -1;
+  owned_descriptor descriptor_;
 };
 
 }
--- a/libraries/transport/udp_socket.cpp
+++ b/libraries/transport/udp_socket.cpp
@@ -7,10 +7,8 @@
 #include <cstring>
 #include <utility>
 
-#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 namespace coltsfootlock {
 
@@ -19,12 +17,6 @@
 constexpr std::size_t largest_datagram = 65536;
 constexpr int socket_buffer_bytes = 4 * 1024 * 1024; // Bursts of a fabric exceed the default of 208 KiB.
 
-endpoint
-from_system(const sockaddr_in& system)
-{
-  return { ntohl(system.sin_addr.s_addr), ntohs(system.sin_port) };
-}
-
 }
 
 std::optional<udp_socket>
@@ -35,7 +27,7 @@
     why = { error_kind::unavailable, std::string("no datagram socket: ") + std::strerror(errno) };
     return std::nullopt;
   }
-  udp_socket result(descriptor);
+  udp_socket result{ owned_descriptor(descriptor) };
   ::setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &socket_buffer_bytes, sizeof(socket_buffer_bytes));
   ::setsockopt(descriptor, SOL_SOCKET, SO_SNDBUF, &socket_buffer_bytes, sizeof(socket_buffer_bytes));
   const sockaddr_in system = to_socket_address(local);
@@ -48,43 +40,21 @@
   return result;
 }
 
-udp_socket::udp_socket(int descriptor)
-  : descriptor_(descriptor)
-{
-}
-
-udp_socket::udp_socket(udp_socket&& other) noexcept
-  : descriptor_(std::exchange(other.descriptor_, -1))
-{
-}
-
-udp_socket&
-udp_socket::operator=(udp_socket&& other) noexcept
-{
-  std::swap(descriptor_, other.descriptor_);
-  return *this;
-}
-
-udp_socket::~udp_socket()
+udp_socket::udp_socket(owned_descriptor descriptor)
+  : descriptor_(std::move(descriptor))
 {
-  if (descriptor_ >= 0) {
-    ::close(descriptor_);
-  }
 }
 
 endpoint
 udp_socket::local() const
 {
-  sockaddr_in system{};
-  socklen_t length = sizeof(system);
-  ::getsockname(descriptor_, reinterpret_cast<sockaddr*>(&system), &length);
-  return from_system(system);
+  return bound_address(descriptor_.get());
 }
 
 int
 udp_socket::descriptor() const
 {
-  return descriptor_;
+  return descriptor_.get();
 }
 
 bool
@@ -92,7 +62,7 @@
 {
   const sockaddr_in system = to_socket_address(to);
   const ssize_t sent = ::sendto(
-    descriptor_, content.data(), content.size(), 0, reinterpret_cast<const sockaddr*>(&system), sizeof(system));
+    descriptor_.get(), content.data(), content.size(), 0, reinterpret_cast<const sockaddr*>(&system), sizeof(system));
   return sent == static_cast<ssize_t>(content.size());
 }
 
@@ -103,17 +73,18 @@
   sockaddr_in system{};
   socklen_t length = sizeof(system);
   const ssize_t received =
-    ::recvfrom(descriptor_, buffer.data(), buffer.size(), 0, reinterpret_cast<sockaddr*>(&system), &length);
+    ::recvfrom(descriptor_.get(), buffer.data(), buffer.size(), 0, reinterpret_cast<sockaddr*>(&system), &length);
   if (received < 0) {
     return std::nullopt;
   }
-  return received_datagram{ from_system(system), std::string(buffer.data(), static_cast<std::size_t>(received)) };
+  return received_datagram{ from_socket_address(system),
+                            std::string(buffer.data(), static_cast<std::size_t>(received)) };
 }
 
 std::optional<std::size_t>
 udp_socket::receive_into(std::span<char> memory)
 {
-  const ssize_t received = ::recv(descriptor_, memory.data(), memory.size(), 0);
+  const ssize_t received = ::recv(descriptor_.get(), memory.data(), memory.size(), 0);
   if (received < 0) {
     return std::nullopt;
   }
--- a/programs/coltsfootlockd/carried/carried_mode.cpp
+++ b/programs/coltsfootlockd/carried/carried_mode.cpp
@@ -13,17 +13,6 @@
 
 namespace coltsfootlock {
 
-namespace {
-
-int
-fail(int code, const error& why)
-{
-  std::cerr << "coltsfootlockd: " << why.message << '\n';
-  return code;
-}
-
-}
-
 int
 run_carried_mode(const value_map& given, const value_map& values, bool only_check)
 {
--- a/programs/coltsfootlockd/exit_codes.h
+++ b/programs/coltsfootlockd/exit_codes.h
@@ -1,8 +1,20 @@
 #pragma once
 
+#include "coltsfootlock/state/error.h"
+
+#include <iostream>
+
 namespace coltsfootlock {
 
 inline constexpr int exit_cannot_start = 1;
 inline constexpr int exit_wrong_settings = 2;
 
+/// Tells on standard error why the program ends; returns `code`.
+inline int
+fail(int code, const error& why)
+{
+  std::cerr << "coltsfootlockd: " << why.message << '\n';
+  return code;
+}
+
 }
--- a/programs/coltsfootlockd/main.cpp
+++ b/programs/coltsfootlockd/main.cpp
@@ -30,13 +30,6 @@
   return result;
 }
 
-int
-fail(int code, const error& why)
-{
-  std::cerr << "coltsfootlockd: " << why.message << '\n';
-  return code;
-}
-
 }
 
 int
--- a/programs/coltsfootlockd/recorded_mode.cpp
+++ b/programs/coltsfootlockd/recorded_mode.cpp
@@ -15,13 +15,6 @@
 
 namespace {
 
-int
-fail(int code, const error& why)
-{
-  std::cerr << "coltsfootlockd: " << why.message << '\n';
-  return code;
-}
-
 /// Blocks the signals that end the daemon in this thread and in those that it starts.
 sigset_t
 block_termination()
--- a/tests/soak/tcp_proxy.cpp
+++ b/tests/soak/tcp_proxy.cpp
@@ -1,11 +1,11 @@
 #include "tcp_proxy.h"
 
+#include "socket_address.h"
+
 #include <array>
 #include <cerrno>
 #include <stdexcept>
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -13,16 +13,6 @@
 
 namespace {
 
-sockaddr_in
-to_system(const endpoint& value)
-{
-  sockaddr_in system{};
-  system.sin_family = AF_INET;
-  system.sin_addr.s_addr = htonl(value.address);
-  system.sin_port = htons(value.port);
-  return system;
-}
-
 bool
 would_block()
 {
@@ -36,7 +26,7 @@
   , listener_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0))
 {
   const int on = 1;
-  const sockaddr_in address = to_system(local);
+  const sockaddr_in address = to_socket_address(local);
   ::setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
   if (::bind(listener_, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0 ||
       ::listen(listener_, 64) != 0) {
@@ -88,7 +78,7 @@
     link.client = client;
     link.server = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     link.fault = fault_;
-    const sockaddr_in address = to_system(server_);
+    const sockaddr_in address = to_socket_address(server_);
     if (::connect(link.server, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0 && !would_block()) {
       close(link, true);
       connections_.pop_back();
