Log what a judgement about a target and a reset rest on

Three hypotheses about resets of served flows could not be told apart by the logs: a congested link of the daemon, a starved processor, and a judgement that outlives its evidence.

Add to the line on a dead target its checks, their time, the last answers of the domain and the other silent targets; to the line on a reset the age of the judgement and of the flow's last packet; lines on slow rounds of the event loop and on records sent to other daemons; metrics for check outcomes and for bytes sent. No decision changes.

--- a/include/coltsfootlock/coordination/steering/reachability_check.h
+++ b/include/coltsfootlock/coordination/steering/reachability_check.h
@@ -4,6 +4,7 @@
 #include "coltsfootlock/state/vm_list.h"
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 
 namespace coltsfootlock {
@@ -25,6 +26,8 @@
   untried,  ///< This VM could not start the attempt.
 };
 
+inline constexpr std::size_t check_outcome_count = 4;
+
 const char*
 to_string(check_outcome value);
 
--- a/include/coltsfootlock/coordination/steering/steering_decision.h
+++ b/include/coltsfootlock/coordination/steering/steering_decision.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "coltsfootlock/state/carried_packet.h"
+#include "coltsfootlock/state/time.h"
 #include "coltsfootlock/state/vm_list.h"
 
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <variant>
 
 namespace coltsfootlock {
@@ -63,13 +65,24 @@
   auto operator<=>(const forward_packet&) const = default;
 };
 
+/// What this daemon knew of a flow when it decided to reset it.
+struct reset_evidence
+{
+  milliseconds judgement_age{ 0 }; ///< Time since its target was found to be lost.
+  milliseconds packet_age{ 0 };    ///< Time since the last packet of the flow.
+  bool waiting = false;            ///< The caller waits for an answer.
+
+  auto operator<=>(const reset_evidence&) const = default;
+};
+
 /// Send a reset of the flow to the caller.
 struct reset_flow
 {
   flow_end_reason reason = flow_end_reason::no_service;
   flow_key flow;
-  std::uint32_t sequence = 0; ///< Next position of the target's stream that the caller expects.
-  vm_id target;               ///< Empty if the flow had none.
+  std::uint32_t sequence = 0;             ///< Next position of the target's stream that the caller expects.
+  vm_id target;                           ///< Empty if the flow had none.
+  std::optional<reset_evidence> evidence; ///< Empty if a packet of the flow is being answered.
 
   auto operator<=>(const reset_flow&) const = default;
 };
--- a/include/coltsfootlock/coordination/steering/steering_engine.h
+++ b/include/coltsfootlock/coordination/steering/steering_engine.h
@@ -25,6 +25,7 @@
   std::array<std::uint64_t, drop_reason_count> dropped{};
   std::uint64_t suspicions = 0;
   std::uint64_t checks = 0;
+  std::array<std::uint64_t, check_outcome_count> check_outcomes{};
 
   auto operator<=>(const steering_counters&) const = default;
 };
@@ -107,7 +108,8 @@
   void reset_flows_of_lost_targets(instant now, std::vector<reset_flow>& resets);
   void expire_idle_flows(instant now);
   void report(const char* part, std::string message);
-  void report_target(const target_state& target, const char* event, instant now);
+  void report_target(const target_state& target, const std::string& event, instant now);
+  std::string check_evidence(const target_state& target, check_outcome outcome, instant now);
   steering_decision forward(forward_reason reason, const target_state& target);
   steering_decision reset(flow_end_reason reason, const carried_packet& packet, const vm_id& target);
   steering_decision drop(drop_reason reason);
@@ -121,6 +123,7 @@
   bool backlog_ = false; ///< Packets that were queued during a pause are being handled.
   std::optional<instant> confirmed_at_;
   instant domain_reached_at_;      ///< Last time that a target of the own domain answered a packet or a check.
+  instant check_answered_at_;      ///< Last time that a target of the own domain answered a check.
   bool dead_target_found_ = false; ///< A target was found dead since the last tick.
   instant next_expiry_;
   instant observing_since_; ///< Start of uninterrupted observation: the start of the daemon or the end of the last
--- a/include/coltsfootlock/coordination/steering/target_state.h
+++ b/include/coltsfootlock/coordination/steering/target_state.h
@@ -34,9 +34,12 @@
   std::uint32_t awaiting_flows = 0; ///< Flows whose caller waits for an answer, including flows that are being opened.
   instant awaiting_since;           ///< Start of the time without any answer while a caller waits.
   bool check_running = false;       ///< True while a reachability check runs.
+  instant check_started;            ///< When the last check started.
   instant next_check;               ///< No check before this time.
   unsigned silent_checks = 0;       ///< Consecutive checks without an answer, reset by any answer of the target.
-  bool dead = false; ///< Checks showed that the process does not run or is unreachable; reset by the next answer.
+  instant first_silent_check;       ///< When the first of them started.
+  bool dead = false;  ///< Checks showed that the process does not run or is unreachable; reset by the next answer.
+  instant dead_since; ///< When the checks showed that it is dead.
   std::uint32_t repeated_packets = 0; ///< Data packets that callers retransmitted since the last progress.
   instant suspected_until;            ///< Until then the target gets new flows only if no other target can take them.
   double cold_allowance = 0;          ///< New flows that this daemon may open now while the target is cold.
--- a/include/coltsfootlock/transport/page_server.h
+++ b/include/coltsfootlock/transport/page_server.h
@@ -4,6 +4,8 @@
 #include "coltsfootlock/state/error.h"
 #include "coltsfootlock/state/time.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -54,6 +56,10 @@
 
   void add_page(const std::string& path, handler make);
 
+  /// Bytes of answers that the connections have taken since the start, and those that wait to be taken.
+  std::uint64_t sent_bytes() const;
+  std::size_t unsent_bytes() const;
+
   /// Appends the descriptors to wait for.
   void add_descriptors(std::vector<pollfd>& wanted) const;
 
--- a/libraries/coordination/steering/steering_engine.cpp
+++ b/libraries/coordination/steering/steering_engine.cpp
@@ -42,12 +42,12 @@
 }
 
 void
-steering_engine::report_target(const target_state& target, const char* event, instant now)
+steering_engine::report_target(const target_state& target, const std::string& event, instant now)
 {
   const target_vm& vm = target.record.vm;
   report(
     "target",
-    std::string(event) + " id=" + vm.id + " group=" + vm.target_group + " domain=" + vm.domain +
+    event + " id=" + vm.id + " group=" + vm.target_group + " domain=" + vm.domain +
       " address=" + to_string(vm.packet_address) + " incarnation=" + std::to_string(vm.incarnation) +
       " leaving=" + (vm.leaving ? "1" : "0") +
       " warm_up_ms=" + std::to_string(std::max<std::int64_t>(milliseconds_of(target.warm_at - now), 0)) +
--- a/libraries/coordination/steering/target_loss_decisions.cpp
+++ b/libraries/coordination/steering/target_loss_decisions.cpp
@@ -7,6 +7,16 @@
 
 namespace coltsfootlock {
 
+namespace {
+
+std::int64_t
+milliseconds_of(duration time)
+{
+  return std::chrono::duration_cast<milliseconds>(time).count();
+}
+
+}
+
 void
 steering_engine::suspect(target_state& target, const char* evidence, instant now)
 {
@@ -35,8 +45,9 @@
   std::vector<reachability_check> checks;
   bool silence = false;
   target_state* reference_target = nullptr;
-  const auto start = [this, &checks](target_state& target) {
+  const auto start = [this, &checks, now](target_state& target) {
     target.check_running = true;
+    target.check_started = now;
     ++counters_.checks;
     checks.push_back({ target.record.vm.id, target.record.vm.load_address });
   };
@@ -70,9 +81,11 @@
     return;
   }
   target->check_running = false;
+  ++counters_.check_outcomes[static_cast<std::size_t>(outcome)];
   const bool reached = outcome == check_outcome::accepted || outcome == check_outcome::refused;
   if (reached && target->record.vm.domain == settings_.domain) {
     domain_reached_at_ = now;
+    check_answered_at_ = now;
   }
   if (outcome == check_outcome::untried) {
     target->next_check = now + steering_timing::check_interval;
@@ -86,18 +99,39 @@
     return;
   }
   if (outcome == check_outcome::silent) {
-    ++target->silent_checks;
+    if (target->silent_checks++ == 0) {
+      target->first_silent_check = target->check_started;
+    }
     suspect(*target, "suspected evidence=silent_check", now);
   }
   const bool waits = target->awaiting_flows > 0;
   if (waits && (outcome == check_outcome::refused || is_unreachable(*target, now))) {
     target->dead = true;
+    target->dead_since = now;
     target->suspected_until = now + 2 * steering_timing::suspicion_duration;
     dead_target_found_ = true;
-    report_target(*target, (std::string("dead evidence=") + to_string(outcome) + "_check").c_str(), now);
+    report_target(*target, "dead evidence=" + check_evidence(*target, outcome, now), now);
   }
 }
 
+/// What a judgement about a target rests on: its own checks, the last answers of its domain, and how many targets of
+/// the domain are silent as well.
+std::string
+steering_engine::check_evidence(const target_state& target, check_outcome outcome, instant now)
+{
+  std::size_t silent = 0;
+  targets_.for_each([&](const target_state& other) {
+    silent += other.silent_checks > 0 && other.record.vm.domain == settings_.domain ? 1 : 0;
+  });
+  const instant begin = target.silent_checks > 0 ? target.first_silent_check : target.check_started;
+  return std::string(to_string(outcome)) + "_check silent_checks=" + std::to_string(target.silent_checks) +
+         " checked_ms=" + std::to_string(milliseconds_of(now - begin)) +
+         " waiting=" + std::to_string(target.awaiting_flows) +
+         " domain_answered_ms=" + std::to_string(milliseconds_of(now - domain_reached_at_)) +
+         " domain_check_answered_ms=" + std::to_string(milliseconds_of(now - check_answered_at_)) +
+         " silent_in_domain=" + std::to_string(silent);
+}
+
 /// True if the target answers no checks although this daemon reaches its own domain. A target of another domain may
 /// still run behind a network partition, but callers of this daemon cannot reach it either.
 bool
@@ -146,7 +180,11 @@
     // A flow that was not established through this daemon may be open at another target through another daemon.
     if (!flow.closing && flow.answered) {
       ++counters_.resets[static_cast<std::size_t>(reason)];
-      resets.push_back({ reason, key, flow.acknowledged, flow.target });
+      const instant judged = gone ? target->phase_since : dead ? target->dead_since : now;
+      const reset_evidence evidence{ std::chrono::duration_cast<milliseconds>(now - judged),
+                                     std::chrono::duration_cast<milliseconds>(now - flow.last_packet),
+                                     flow.answer_pending };
+      resets.push_back({ reason, key, flow.acknowledged, flow.target, evidence });
     }
     return true;
   });
--- a/libraries/transport/page_server.cpp
+++ b/libraries/transport/page_server.cpp
@@ -114,8 +114,10 @@
   tcp_stream listener;
   std::map<std::string, handler> pages;
   std::list<connection> connections;
+  std::uint64_t sent_bytes = 0;
 
   void accept_all(instant now);
+  tcp_stream::state send_unsent(connection& caller);
   handler find(const connection& caller) const;
   /// Appends the answer to a complete request. False once the connection is over.
   bool answer(connection& caller, instant now);
@@ -164,6 +166,22 @@
   implementation_->pages[path] = std::move(make);
 }
 
+std::uint64_t
+page_server::sent_bytes() const
+{
+  return implementation_->sent_bytes;
+}
+
+std::size_t
+page_server::unsent_bytes() const
+{
+  std::size_t result = 0;
+  for (const connection& caller : implementation_->connections) {
+    result += caller.unsent.size();
+  }
+  return result;
+}
+
 void
 page_server::add_descriptors(std::vector<pollfd>& wanted) const
 {
@@ -205,6 +223,15 @@
   return found->second;
 }
 
+tcp_stream::state
+page_server::implementation::send_unsent(connection& caller)
+{
+  const std::size_t before = caller.unsent.size();
+  const tcp_stream::state result = caller.stream.write(caller.unsent);
+  sent_bytes += before - caller.unsent.size();
+  return result;
+}
+
 bool
 page_server::implementation::answer(connection& caller, instant now)
 {
@@ -215,7 +242,7 @@
   caller.waiting = nullptr;
   caller.last_used = now;
   caller.unsent += to_bytes(*content, caller.keep_alive);
-  if (caller.stream.write(caller.unsent) == tcp_stream::state::broken || !caller.keep_alive) {
+  if (send_unsent(caller) == tcp_stream::state::broken || !caller.keep_alive) {
     return false;
   }
   caller.restart();
@@ -231,7 +258,7 @@
     return false;
   }
   while (true) {
-    if (!caller.unsent.empty() && caller.stream.write(caller.unsent) == tcp_stream::state::broken) {
+    if (!caller.unsent.empty() && send_unsent(caller) == tcp_stream::state::broken) {
       return false;
     }
     std::size_t size = 0;
--- a/programs/coltsfootlockd/carried/carried_daemon.cpp
+++ b/programs/coltsfootlockd/carried/carried_daemon.cpp
@@ -22,6 +22,12 @@
 /// Interval for flushing buffered log lines.
 constexpr milliseconds log_interval{ 250 };
 
+/// A longer time between two rounds of the event loop is logged: answers may have been handled late.
+constexpr milliseconds slow_round = 2 * steering_timing::tick_interval;
+
+/// Records sent to other daemons within `log_interval` are logged from this size on.
+constexpr std::uint64_t min_logged_bytes = 16 * 1024;
+
 /// Interval for checking the settings file for changes without a signal.
 constexpr milliseconds settings_interval{ 2000 };
 
@@ -69,7 +75,10 @@
 {
   metrics_server_ = std::move(server);
   metrics_server_->add_page("/metrics", [this](const page_request&, instant) {
-    return page{ 200, carried_metrics(engine_, packets_, records_, is_ready(), now_), "text/plain; version=0.0.4" };
+    const std::uint64_t sent = peer_server_ ? peer_server_->sent_bytes() : 0;
+    return page{ 200,
+                 carried_metrics(engine_, packets_, records_, sent, is_ready(), now_),
+                 "text/plain; version=0.0.4" };
   });
 }
 
@@ -161,6 +170,10 @@
               "daemon",
               "paused ms=" + std::to_string(std::chrono::duration_cast<milliseconds>(now_ - before).count()));
     engine_.on_pause(now_);
+  } else if (now_ - before > slow_round) {
+    write_log(log_level::info,
+              "daemon",
+              "slow round ms=" + std::to_string(std::chrono::duration_cast<milliseconds>(now_ - before).count()));
   }
 }
 
@@ -211,6 +224,20 @@
   }
 }
 
+/// Large transfers share the link with forwarded packets and checks.
+void
+carried_daemon::log_sent_records()
+{
+  if (!peer_server_ || peer_server_->sent_bytes() - logged_sent_bytes_ < min_logged_bytes) {
+    return;
+  }
+  write_log(log_level::info,
+            "records",
+            "sent bytes=" + std::to_string(peer_server_->sent_bytes() - logged_sent_bytes_) +
+              " unsent_bytes=" + std::to_string(peer_server_->unsent_bytes()));
+  logged_sent_bytes_ = peer_server_->sent_bytes();
+}
+
 void
 carried_daemon::reload(bool signalled)
 {
@@ -269,6 +296,7 @@
   if (now >= next_log_) {
     next_log_ = now + log_interval;
     packets_.report_suppressed();
+    log_sent_records();
     flush_log();
   }
 }
--- a/programs/coltsfootlockd/carried/carried_daemon.h
+++ b/programs/coltsfootlockd/carried/carried_daemon.h
@@ -11,6 +11,7 @@
 #include "coltsfootlock/transport/udp_socket.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <vector>
 
@@ -55,6 +56,7 @@
   void handle_events(const poll_groups& groups);
   void run_duties(instant now);
   void log_steering_events();
+  void log_sent_records();
   void reload(bool signalled);
 
   const value_map given_;
@@ -76,6 +78,7 @@
   instant next_settings_check_;
   std::optional<instant> leaving_since_;
   int refusals_while_leaving_ = 0;
+  std::uint64_t logged_sent_bytes_ = 0;
   bool was_ready_ = false;
 };
 
--- a/programs/coltsfootlockd/carried/carried_metrics.cpp
+++ b/programs/coltsfootlockd/carried/carried_metrics.cpp
@@ -34,6 +34,11 @@
   metrics.counter("target_checks_total",
                   "Connections opened to targets to learn whether they are there.",
                   static_cast<double>(counters.checks));
+  metrics.begin_counter("target_check_results_total", "Ended checks of targets, by outcome.");
+  for (std::size_t outcome = 0; outcome < check_outcome_count; ++outcome) {
+    metrics.add(static_cast<double>(counters.check_outcomes[outcome]),
+                { { "outcome", to_string(static_cast<check_outcome>(outcome)) } });
+  }
   metrics.gauge("flows", "Flows seen and not ended.", static_cast<double>(engine.flows()));
   metrics.gauge("targets", "Targets known, including those that are gone.", static_cast<double>(engine.targets()));
   const catalogue* services = engine.current_catalogue();
@@ -73,12 +78,15 @@
 carried_metric_families(const steering_engine& engine,
                         const packet_path& packets,
                         const record_path& records,
+                        std::uint64_t sent_record_bytes,
                         bool ready,
                         instant now)
 {
   metric_builder metrics;
   add_engine(engine, metrics);
   add_records(records, now, metrics);
+  metrics.counter(
+    "record_bytes_sent_total", "Bytes of answers sent to other daemons.", static_cast<double>(sent_record_bytes));
   metrics.gauge("ready", "1 while the daemon asks for traffic.", ready ? 1 : 0);
   metrics.counter(
     "packets_malformed_total", "Datagrams that are no packet.", static_cast<double>(packets.counters().malformed));
@@ -97,10 +105,11 @@
 carried_metrics(const steering_engine& engine,
                 const packet_path& packets,
                 const record_path& records,
+                std::uint64_t sent_record_bytes,
                 bool ready,
                 instant now)
 {
-  return metrics_text(carried_metric_families(engine, packets, records, ready, now));
+  return metrics_text(carried_metric_families(engine, packets, records, sent_record_bytes, ready, now));
 }
 
 }
--- a/programs/coltsfootlockd/carried/carried_metrics.h
+++ b/programs/coltsfootlockd/carried/carried_metrics.h
@@ -5,16 +5,18 @@
 
 #include <prometheus/metric_family.h>
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
 namespace coltsfootlock {
 
-/// Returns the metric families of a daemon that routes carried flows.
+/// Returns the metric families of a daemon that routes carried flows. `sent_record_bytes`: answers to other daemons.
 std::vector<prometheus::MetricFamily>
 carried_metric_families(const steering_engine& engine,
                         const packet_path& packets,
                         const record_path& records,
+                        std::uint64_t sent_record_bytes,
                         bool ready,
                         instant now);
 
@@ -23,6 +25,7 @@
 carried_metrics(const steering_engine& engine,
                 const packet_path& packets,
                 const record_path& records,
+                std::uint64_t sent_record_bytes,
                 bool ready,
                 instant now);
 
--- a/programs/coltsfootlockd/carried/packet_path.cpp
+++ b/programs/coltsfootlockd/carried/packet_path.cpp
@@ -21,6 +21,15 @@
   return "flow=" + to_string(flow.caller) + ">" + to_string(flow.service);
 }
 
+std::string
+describe(const std::optional<reset_evidence>& evidence)
+{
+  return evidence ? " judgement_age_ms=" + std::to_string(evidence->judgement_age.count()) +
+                      " packet_age_ms=" + std::to_string(evidence->packet_age.count()) +
+                      " waiting=" + (evidence->waiting ? "1" : "0")
+                  : "";
+}
+
 }
 
 packet_path::packet_path(udp_socket socket, steering_engine& engine)
@@ -85,7 +94,8 @@
     if (lines_.allow(now)) {
       write_log(log_level::info,
                 "flow",
-                "reset " + describe(reset.flow) + " reason=" + to_string(reset.reason) + " target=" + reset.target);
+                "reset " + describe(reset.flow) + " reason=" + to_string(reset.reason) + " target=" + reset.target +
+                  describe(reset.evidence));
     }
   }
 }
--- a/programs/coltsfootlockd/tests/test_documentation.cpp
+++ b/programs/coltsfootlockd/tests/test_documentation.cpp
@@ -135,7 +135,7 @@
   const packet_path packets(std::move(*udp_socket::bind({ 0x7f000001, 0 }, why)), engine);
   const record_path records({ 0x7f000001, 1 }, {}, 1, sources, engine);
   std::set<row> expected;
-  for (const auto& family : carried_metric_families(engine, packets, records, true, instant(seconds(1)))) {
+  for (const auto& family : carried_metric_families(engine, packets, records, 0, true, instant(seconds(1)))) {
     const std::string type = family.type == prometheus::MetricType::Counter     ? "counter"
                              : family.type == prometheus::MetricType::Histogram ? "histogram"
                                                                                 : "gauge";
