Take silent checks as evidence only if a later check was answered

Cause: a daemon took its own congested link for dead targets. It was sending 2 MB of records to its followers over 10 Mbit/s; its connection attempts and forwarded packets waited behind them for longer than a check lasts. The guard against that, a sign of life from the own domain within 300 ms, accepted acknowledgements of callers, which arrive over the idle direction of the link for packets that were forwarded earlier or by other daemons. It also accepted checks that had been sent before the silent ones: while the queue drains, the first checks of a round are answered in time and the last ones are not.

At 18 of 30 judgements the last answered check of the domain was 1.3 to 12.9 s old; at the others it was read in the same round.

Packets leave a link in order. An answer to a check that was sent later shows that the silent one was sent, whatever congests the link, so only such a silent check counts. Each round after a silent check ends with a check of a target that has no unanswered packet. The first silent check of a series still counts by itself, as it starts the comparison.

Ruled out: longer check times or more checks, which only move the size of the transfer from which it happens; a limit on how many targets may be silent, which a real outage of a rack exceeds.

Failed before: flows_are_not_reset_while_the_daemons_own_link_is_congested, an_answer_to_an_earlier_check_does_not_show_that_a_later_one_was_sent. Changed: a_target_is_dead_after_three_silent_checks_while_others_answer took acknowledgements of another target as proof that the link works, which is the fault; it now takes answered checks, with the same three rounds and resets. Three more cases hand out the answers in the order of arrival, and the case on checks soon after a start now has answered references, so that only the start keeps the targets alive.

--- a/include/coltsfootlock/coordination/steering/steering_engine.h
+++ b/include/coltsfootlock/coordination/steering/steering_engine.h
@@ -98,7 +98,7 @@
   void observe_packet(const carried_packet& packet, target_state& target, instant now);
   void suspect(target_state& target, const char* evidence, instant now);
   bool is_quiet(const target_state& target, instant now) const;
-  bool is_unreachable(const target_state& target, instant now) const;
+  void on_silent_check(target_state& target, instant now);
   bool records_are_fresh(instant now) const;
   void on_target_progress(carried_flow& flow, target_state& target, instant now);
   void release_flow(const carried_flow& flow);
@@ -122,9 +122,9 @@
   bool complete_ = false;
   bool backlog_ = false; ///< Packets that were queued during a pause are being handled.
   std::optional<instant> confirmed_at_;
-  instant domain_reached_at_;      ///< Last time that a target of the own domain answered a packet or a check.
-  instant check_answered_at_;      ///< Last time that a target of the own domain answered a check.
-  bool dead_target_found_ = false; ///< A target was found dead since the last tick.
+  instant check_answered_at_;             ///< Last time that a target of the own domain answered a check.
+  std::uint64_t last_answered_check_ = 0; ///< Highest number of a check that a target of the own domain answered.
+  bool dead_target_found_ = false;        ///< A target was found dead since the last tick.
   instant next_expiry_;
   instant observing_since_; ///< Start of uninterrupted observation: the start of the daemon or the end of the last
                             ///< pause. Silence before it is no evidence.
--- a/include/coltsfootlock/coordination/steering/steering_timing.h
+++ b/include/coltsfootlock/coordination/steering/steering_timing.h
@@ -52,8 +52,8 @@
 /// Interval between checks of a target that answers them.
 inline constexpr milliseconds check_interval{ 1000 };
 
-/// A target of the own domain must have answered within this time. Otherwise this daemon itself may be cut off.
-inline constexpr milliseconds domain_reachable_window{ 300 };
+/// Silent checks that are further apart than this are not consecutive.
+inline constexpr milliseconds max_silent_check_gap{ 3000 };
 
 /// Interval between scans for idle flows.
 inline constexpr milliseconds expiry_interval{ 1000 };
--- a/include/coltsfootlock/coordination/steering/target_state.h
+++ b/include/coltsfootlock/coordination/steering/target_state.h
@@ -35,9 +35,11 @@
   instant awaiting_since;           ///< Start of the time without any answer while a caller waits.
   bool check_running = false;       ///< True while a reachability check runs.
   instant check_started;            ///< When the last check started.
+  std::uint64_t check_number = 0;   ///< Of the last check; counts the checks of this daemon.
   instant next_check;               ///< No check before this time.
-  unsigned silent_checks = 0;       ///< Consecutive checks without an answer, reset by any answer of the target.
+  unsigned silent_checks = 0;       ///< Consecutive conclusive checks without an answer, reset by any answer.
   instant first_silent_check;       ///< When the first of them started.
+  instant last_silent_check;        ///< When the last of them started.
   bool dead = false;  ///< Checks showed that the process does not run or is unreachable; reset by the next answer.
   instant dead_since; ///< When the checks showed that it is dead.
   std::uint32_t repeated_packets = 0; ///< Data packets that callers retransmitted since the last progress.
--- a/libraries/coordination/steering/open_flow_decisions.cpp
+++ b/libraries/coordination/steering/open_flow_decisions.cpp
@@ -135,9 +135,6 @@
   target.awaiting_since = now;
   target.silent_checks = 0;
   target.dead = false;
-  if (target.record.vm.domain == settings_.domain) {
-    domain_reached_at_ = now;
-  }
   isolation_.on_progress();
   target.pending_since = now;
   target.suspected_until = instant{};
--- a/libraries/coordination/steering/steering_engine.cpp
+++ b/libraries/coordination/steering/steering_engine.cpp
@@ -156,7 +156,7 @@
 steering_engine::reset(flow_end_reason reason, const carried_packet& packet, const vm_id& target)
 {
   ++counters_.resets[static_cast<std::size_t>(reason)];
-  return reset_flow{ reason, packet.flow, packet.opens ? 0 : packet.acknowledged, target };
+  return reset_flow{ reason, packet.flow, packet.opens ? 0 : packet.acknowledged, target, std::nullopt };
 }
 
 steering_decision
--- a/libraries/coordination/steering/target_loss_decisions.cpp
+++ b/libraries/coordination/steering/target_loss_decisions.cpp
@@ -39,6 +39,9 @@
 /// Load patterns: a target stops answering, or its domain is cut off. Callers whose packets it has acknowledged wait
 /// without sending anything, and its record stays for three heartbeats, which is longer than many callers wait. Only
 /// targets that leave a caller without an answer for longer than usual are checked.
+///
+/// Load pattern: the daemon's own link is congested, so that its checks of all targets go unanswered. A target of the
+/// own domain that answers without delay is checked last: if that check is answered, the ones before it were sent.
 std::vector<reachability_check>
 steering_engine::start_due_checks(instant now)
 {
@@ -48,26 +51,24 @@
   const auto start = [this, &checks, now](target_state& target) {
     target.check_running = true;
     target.check_started = now;
-    ++counters_.checks;
+    target.check_number = ++counters_.checks;
     checks.push_back({ target.record.vm.id, target.record.vm.load_address });
   };
   targets_.for_each([&](target_state& target) {
-    silence = silence || (target.silent_checks > 0 && target.awaiting_flows > 0 && !target.dead);
     if (target.check_running || target.dead || now < target.next_check || target.phase != target_phase::present) {
       return;
     }
     const bool due = target.awaiting_flows > 0 &&
                      now - std::max(target.awaiting_since, observing_since_) > steering_timing::check_delay;
     if (due) {
+      silence = silence || target.silent_checks > 0;
       start(target);
     } else if (target.record.vm.domain == settings_.domain && target.suspected_until <= now &&
                (reference_target == nullptr || target.last_progress > reference_target->last_progress)) {
       reference_target = &target;
     }
   });
-  // If most targets of the domain are silent, too few flows may show that this daemon still reaches the others.
-  if (silence && reference_target != nullptr &&
-      now - domain_reached_at_ > steering_timing::domain_reachable_window / 2) {
+  if (silence && reference_target != nullptr) {
     start(*reference_target);
   }
   return checks;
@@ -84,8 +85,8 @@
   ++counters_.check_outcomes[static_cast<std::size_t>(outcome)];
   const bool reached = outcome == check_outcome::accepted || outcome == check_outcome::refused;
   if (reached && target->record.vm.domain == settings_.domain) {
-    domain_reached_at_ = now;
     check_answered_at_ = now;
+    last_answered_check_ = std::max(last_answered_check_, target->check_number);
   }
   if (outcome == check_outcome::untried) {
     target->next_check = now + steering_timing::check_interval;
@@ -99,13 +100,12 @@
     return;
   }
   if (outcome == check_outcome::silent) {
-    if (target->silent_checks++ == 0) {
-      target->first_silent_check = target->check_started;
-    }
-    suspect(*target, "suspected evidence=silent_check", now);
+    on_silent_check(*target, now);
   }
-  const bool waits = target->awaiting_flows > 0;
-  if (waits && (outcome == check_outcome::refused || is_unreachable(*target, now))) {
+  // A target of another domain may still run behind a network partition, but callers of this daemon cannot reach it
+  // either.
+  const bool unreachable = target->silent_checks >= steering_timing::min_silent_checks;
+  if (target->awaiting_flows > 0 && (outcome == check_outcome::refused || unreachable)) {
     target->dead = true;
     target->dead_since = now;
     target->suspected_until = now + 2 * steering_timing::suspicion_duration;
@@ -114,6 +114,25 @@
   }
 }
 
+/// Counts a silent check if it is conclusive. The first one of a series always counts, since there is no reference
+/// target before it; the later ones count if a check that was sent after them has been answered.
+void
+steering_engine::on_silent_check(target_state& target, instant now)
+{
+  suspect(target, "suspected evidence=silent_check", now);
+  const bool settled = target.check_started - observing_since_ > steering_timing::silent_check_grace;
+  const bool consecutive = target.silent_checks > 0 &&
+                           target.check_started - target.last_silent_check <= steering_timing::max_silent_check_gap;
+  if (!consecutive) {
+    target.silent_checks = 0;
+    target.first_silent_check = target.check_started;
+  }
+  if (!consecutive || (settled && last_answered_check_ > target.check_number)) {
+    ++target.silent_checks;
+    target.last_silent_check = target.check_started;
+  }
+}
+
 /// What a judgement about a target rests on: its own checks, the last answers of its domain, and how many targets of
 /// the domain are silent as well.
 std::string
@@ -127,22 +146,10 @@
   return std::string(to_string(outcome)) + "_check silent_checks=" + std::to_string(target.silent_checks) +
          " checked_ms=" + std::to_string(milliseconds_of(now - begin)) +
          " waiting=" + std::to_string(target.awaiting_flows) +
-         " domain_answered_ms=" + std::to_string(milliseconds_of(now - domain_reached_at_)) +
          " domain_check_answered_ms=" + std::to_string(milliseconds_of(now - check_answered_at_)) +
          " silent_in_domain=" + std::to_string(silent);
 }
 
-/// True if the target answers no checks although this daemon reaches its own domain. A target of another domain may
-/// still run behind a network partition, but callers of this daemon cannot reach it either.
-bool
-steering_engine::is_unreachable(const target_state& target, instant now) const
-{
-  const bool settled = now - observing_since_ > steering_timing::silent_check_grace;
-  const bool others_answer = now - domain_reached_at_ < steering_timing::domain_reachable_window &&
-                             domain_reached_at_ > std::max(target.awaiting_since, observing_since_);
-  return settled && others_answer && target.silent_checks >= steering_timing::min_silent_checks;
-}
-
 /// A caller that waits for the result of a non-idempotent request could not repeat it, so its flow is not reset.
 bool
 steering_engine::may_reset(const flow_key& key, const carried_flow& flow) const
--- a/libraries/coordination/steering/tests/test_target_checks.cpp
+++ b/libraries/coordination/steering/tests/test_target_checks.cpp
@@ -48,6 +48,23 @@
     return resets;
   }
 
+  /// Runs due checks: those of `silent` targets get no answer, all others are accepted. Answers come before the time of
+  /// the silent ones is over. The result tells which targets were checked.
+  std::set<std::string> check(const std::set<std::string>& silent)
+  {
+    std::set<std::string> result;
+    const auto checks = engine.start_due_checks(now);
+    for (const bool answered : { true, false }) {
+      for (const reachability_check& one : checks) {
+        result.insert(one.target);
+        if (silent.contains(one.target) != answered) {
+          engine.on_check(one.target, answered ? check_outcome::accepted : check_outcome::silent, now);
+        }
+      }
+    }
+    return result;
+  }
+
   std::uint32_t position = 1;
 };
 
@@ -111,16 +128,14 @@
 
 // Two silent checks may be lost packets: at a loss of 0.15% that is one of 100,000 pairs, and a day has thousands. If
 // all targets are silent, this daemon itself may be cut off.
-BOOST_AUTO_TEST_CASE(a_target_is_dead_after_three_silent_checks_while_others_answer)
+BOOST_AUTO_TEST_CASE(a_target_is_dead_after_three_silent_checks_while_others_answer_checks)
 {
   pass_with_progress(milliseconds(6400));
-  for (int check = 0; check < 2; ++check) {
-    BOOST_TEST(targets_of(engine.start_due_checks(now)).contains("t-1"));
-    engine.on_check("t-1", check_outcome::silent, now);
+  for (int round = 0; round < 2; ++round) {
+    BOOST_TEST(check({ "t-1" }).contains("t-1"));
     BOOST_TEST(pass_with_progress(milliseconds(300)).empty());
   }
-  engine.start_due_checks(now);
-  engine.on_check("t-1", check_outcome::silent, now);
+  check({ "t-1" });
   BOOST_TEST(pass(milliseconds(50)).size() == flows_of_one.size());
 }
 
@@ -157,10 +172,9 @@
 // Load pattern: all daemons have started, all callers wait, and all daemons check all targets at once.
 BOOST_AUTO_TEST_CASE(silent_checks_soon_after_the_start_are_no_evidence)
 {
-  for (int check = 0; check < 4; ++check) {
+  for (int round = 0; round < 4; ++round) {
     BOOST_TEST(pass_with_progress(milliseconds(400)).empty());
-    engine.start_due_checks(now);
-    engine.on_check("t-1", check_outcome::silent, now);
+    BOOST_TEST(check({ "t-1" }).contains("t-1"));
   }
   BOOST_TEST(pass_with_progress(milliseconds(400)).empty());
 }
@@ -190,10 +204,8 @@
   }
   pass_with_progress(milliseconds(400));
   std::vector<reset_flow> resets;
-  for (int check = 0; check < 3; ++check) {
-    for (const reachability_check& one : engine.start_due_checks(now)) {
-      engine.on_check(one.target, one.target == "t-3" ? check_outcome::silent : check_outcome::accepted, now);
-    }
+  for (int round = 0; round < 3; ++round) {
+    check({ "t-3" });
     const auto more = pass_with_progress(milliseconds(200));
     resets.insert(resets.end(), more.begin(), more.end());
   }
@@ -220,13 +232,49 @@
 BOOST_AUTO_TEST_CASE(a_target_that_answers_after_all_is_alive)
 {
   pass_with_progress(milliseconds(6400));
-  engine.start_due_checks(now);
-  engine.on_check("t-1", check_outcome::silent, now);
+  check({ "t-1" });
+  pass_with_progress(milliseconds(300));
+  check({ "t-1" });
   send(flows_of_one[1], token_of_tag(1), 2);
+  send(flows_of_one[0], token_of_tag(1), 1, 301, 200);
   pass_with_progress(milliseconds(400));
-  engine.start_due_checks(now);
-  engine.on_check("t-1", check_outcome::silent, now);
+  check({ "t-1" });
+  BOOST_TEST(pass_with_progress(milliseconds(300)).empty());
+  check({ "t-1" });
   BOOST_TEST(pass(milliseconds(50)).empty());
 }
 
+// The daemon's own link is congested: its connection attempts wait behind other traffic, while acknowledgements of
+// callers still arrive for packets that were forwarded earlier or by other daemons.
+BOOST_AUTO_TEST_CASE(flows_are_not_reset_while_the_daemons_own_link_is_congested)
+{
+  pass_with_progress(milliseconds(6400));
+  for (int round = 0; round < 10; ++round) {
+    check({ "t-1", "t-2" });
+    BOOST_TEST(pass_with_progress(milliseconds(300)).empty());
+  }
+}
+
+// The queue of a congested link drains while checks run: those that were sent first are answered in time.
+BOOST_AUTO_TEST_CASE(an_answer_to_an_earlier_check_does_not_show_that_a_later_one_was_sent)
+{
+  publish(make_target(3, "a"));
+  const flow_key flow = flow_of(50, 50);
+  send(flow, token_of_tag(3), 1);
+  pass_with_progress(milliseconds(6400));
+  for (int round = 0; round < 10; ++round) {
+    send(flow, token_of_tag(3), 1, 101 + round * 10, 10);
+    pass_with_progress(milliseconds(400));
+    const auto checks = engine.start_due_checks(now);
+    bool silent = false;
+    for (const reachability_check& one : checks) {
+      silent = silent || one.target == "t-1";
+      engine.on_check(one.target, silent ? check_outcome::silent : check_outcome::accepted, now);
+    }
+    for (const reset_flow& reset : pass_with_progress(milliseconds(300))) {
+      BOOST_TEST(reset.target != "t-1");
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/programs/coltsfootlockd/carried/target_checks.cpp
+++ b/programs/coltsfootlockd/carried/target_checks.cpp
@@ -2,6 +2,7 @@
 
 #include "coltsfootlock/coordination/steering/steering_timing.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace coltsfootlock {
@@ -65,6 +66,9 @@
     results.push_back({ check.target, outcome_of(state) });
     return true;
   });
+  // Answers show that this VM's link works, so they are handled before the silence of others.
+  std::stable_partition(
+    results.begin(), results.end(), [](const check_result& result) { return result.outcome != check_outcome::silent; });
   return results;
 }
 
