Let a judgement about a dead target reset only the flows it is about

Cause: a daemon that found a target dead kept that as a state of the target. It ended only with progress on a flow of the same daemon or with a new record. Any later loss of another target made the daemon scan its flows and reset all those of targets in that state, including flows that had opened since through other daemons and were being answered.

At 27.29 s records of other targets were removed, and it reset a flow that a caller had opened to that target at 23.06 s.

A judgement is now an event: the next tick resets the flows that this daemon knew, without progress, before the check started that proved the target dead. Nothing is kept. The target stays under suspicion, and it is checked again every second while callers wait for it, so that flows seen later are reset by new evidence.

Ruled out: a lifetime for the state, which would still reset flows that opened within it.

Failed before: flows_opened_after_their_target_was_found_dead_are_kept_when_ another_target_is_lost, and callers_that_send_to_a_target_found_dead_before_are_ reset_by_new_evidence, since a target found dead was never checked again.

--- a/include/coltsfootlock/coordination/steering/steering_engine.h
+++ b/include/coltsfootlock/coordination/steering/steering_engine.h
@@ -89,6 +89,15 @@
   std::vector<steering_event> take_events();
 
 private:
+  /// A target that checks found to be dead. This holds for the flows that it had when the last of these checks started;
+  /// later ones need new evidence.
+  struct dead_target
+  {
+    vm_id id;
+    instant check_started;
+    instant found;
+  };
+
   steering_decision on_opening(const carried_packet& packet, instant now);
   steering_decision on_repeated_opening(const carried_packet& packet, carried_flow& flow, instant now);
   steering_decision on_established(const carried_packet& packet, instant now);
@@ -105,6 +114,7 @@
   bool may_warm_up(target_state& target, instant now) const;
   void start_awaiting(target_state& target, instant now);
   bool may_reset(const flow_key& key, const carried_flow& flow) const;
+  static const dead_target* found_dead(const carried_flow& flow, const std::vector<dead_target>& dead);
   void reset_flows_of_lost_targets(instant now, std::vector<reset_flow>& resets);
   void expire_idle_flows(instant now);
   void report(const char* part, std::string message);
@@ -124,7 +134,7 @@
   std::optional<instant> confirmed_at_;
   instant check_answered_at_;             ///< Last time that a target of the own domain answered a check.
   std::uint64_t last_answered_check_ = 0; ///< Highest number of a check that a target of the own domain answered.
-  bool dead_target_found_ = false;        ///< A target was found dead since the last tick.
+  std::vector<dead_target> dead_targets_; ///< Found since the last tick.
   instant next_expiry_;
   instant observing_since_; ///< Start of uninterrupted observation: the start of the daemon or the end of the last
                             ///< pause. Silence before it is no evidence.
--- a/include/coltsfootlock/coordination/steering/target_state.h
+++ b/include/coltsfootlock/coordination/steering/target_state.h
@@ -40,8 +40,6 @@
   unsigned silent_checks = 0;       ///< Consecutive conclusive checks without an answer, reset by any answer.
   instant first_silent_check;       ///< When the first of them started.
   instant last_silent_check;        ///< When the last of them started.
-  bool dead = false;  ///< Checks showed that the process does not run or is unreachable; reset by the next answer.
-  instant dead_since; ///< When the checks showed that it is dead.
   std::uint32_t repeated_packets = 0; ///< Data packets that callers retransmitted since the last progress.
   instant suspected_until;            ///< Until then the target gets new flows only if no other target can take them.
   double cold_allowance = 0;          ///< New flows that this daemon may open now while the target is cold.
--- a/libraries/coordination/steering/steering_engine.cpp
+++ b/libraries/coordination/steering/steering_engine.cpp
@@ -192,7 +192,7 @@
   std::vector<reset_flow> resets;
   // Targets are kept that long so that late packets of their flows can be attributed to them.
   targets_.tick(settings_.flow_lifetime, now);
-  bool lost = !restarted_.empty() || std::exchange(dead_target_found_, false);
+  bool lost = !restarted_.empty() || !dead_targets_.empty();
   targets_.for_each([&](const target_state& target) {
     lost = lost || (target.phase == target_phase::gone && target.open_flows > 0 && is_quiet(target, now));
   });
--- a/libraries/coordination/steering/target_directory.cpp
+++ b/libraries/coordination/steering/target_directory.cpp
@@ -97,7 +97,6 @@
   const bool restarted = !is_new && target.record.vm.incarnation != record.vm.incarnation;
   if (is_new || restarted || target.phase == target_phase::gone) {
     target.suspected_until = instant{};
-    target.dead = false;
     target.silent_checks = 0;
     target.cold_allowance = 0;
     target.cold_allowance_at = now;
--- a/libraries/coordination/steering/target_loss_decisions.cpp
+++ b/libraries/coordination/steering/target_loss_decisions.cpp
@@ -55,7 +55,7 @@
     checks.push_back({ target.record.vm.id, target.record.vm.load_address });
   };
   targets_.for_each([&](target_state& target) {
-    if (target.check_running || target.dead || now < target.next_check || target.phase != target_phase::present) {
+    if (target.check_running || now < target.next_check || target.phase != target_phase::present) {
       return;
     }
     const bool due = target.awaiting_flows > 0 &&
@@ -106,10 +106,9 @@
   // either.
   const bool unreachable = target->silent_checks >= steering_timing::min_silent_checks;
   if (target->awaiting_flows > 0 && (outcome == check_outcome::refused || unreachable)) {
-    target->dead = true;
-    target->dead_since = now;
+    target->next_check = now + steering_timing::check_interval;
     target->suspected_until = now + 2 * steering_timing::suspicion_duration;
-    dead_target_found_ = true;
+    dead_targets_.push_back({ id, target->check_started, now });
     report_target(*target, "dead evidence=" + check_evidence(*target, outcome, now), now);
   }
 }
@@ -161,6 +160,16 @@
   return wanted != nullptr && wanted->idempotent;
 }
 
+/// Null if the flow was first seen, or its target answered on it, after the checks that found the target dead.
+const steering_engine::dead_target*
+steering_engine::found_dead(const carried_flow& flow, const std::vector<dead_target>& dead)
+{
+  const auto found = std::find_if(dead.begin(), dead.end(), [&flow](const dead_target& one) {
+    return one.id == flow.target && flow.last_progress < one.check_started;
+  });
+  return found == dead.end() ? nullptr : &*found;
+}
+
 /// Load pattern: a target dies while callers wait for its answers. Waiting callers send no packets that could be
 /// answered with a reset, so resets are sent as soon as the target is known to be lost, and the callers repeat
 /// idempotent work elsewhere.
@@ -168,6 +177,7 @@
 steering_engine::reset_flows_of_lost_targets(instant now, std::vector<reset_flow>& resets)
 {
   const std::vector<vm_id> restarted = std::exchange(restarted_, {});
+  const std::vector<dead_target> dead_targets = std::exchange(dead_targets_, {});
   flows_.erase_if([&](const flow_key& key, const carried_flow& flow) {
     const target_state* target = targets_.find(flow.target);
     if (target == nullptr) {
@@ -176,8 +186,8 @@
     const bool gone = target->phase == target_phase::gone && is_quiet(*target, now);
     const bool target_restarted = std::find(restarted.begin(), restarted.end(), flow.target) != restarted.end() &&
                                   now - std::max(flow.last_progress, flow.opened) > settings_.target_heartbeat;
-    const bool dead = target->dead && may_reset(key, flow);
-    if (!gone && !target_restarted && !dead) {
+    const dead_target* dead = may_reset(key, flow) ? found_dead(flow, dead_targets) : nullptr;
+    if (!gone && !target_restarted && dead == nullptr) {
       return false;
     }
     const flow_end_reason reason = gone               ? flow_end_reason::target_gone
@@ -187,7 +197,7 @@
     // A flow that was not established through this daemon may be open at another target through another daemon.
     if (!flow.closing && flow.answered) {
       ++counters_.resets[static_cast<std::size_t>(reason)];
-      const instant judged = gone ? target->phase_since : dead ? target->dead_since : now;
+      const instant judged = gone ? target->phase_since : dead != nullptr ? dead->found : now;
       const reset_evidence evidence{ std::chrono::duration_cast<milliseconds>(now - judged),
                                      std::chrono::duration_cast<milliseconds>(now - flow.last_packet),
                                      flow.answer_pending };
--- a/libraries/coordination/steering/tests/test_target_checks.cpp
+++ b/libraries/coordination/steering/tests/test_target_checks.cpp
@@ -277,4 +277,44 @@
   }
 }
 
+// A domain that was cut off is reached again. Flows to its targets that opened since are served, partly through other
+// daemons, when a target elsewhere is lost.
+BOOST_AUTO_TEST_CASE(flows_opened_after_their_target_was_found_dead_are_kept_when_another_target_is_lost)
+{
+  pass_with_progress(milliseconds(6400));
+  for (int round = 0; round < 3; ++round) {
+    check({ "t-1" });
+    pass_with_progress(milliseconds(300));
+  }
+  const flow_key later = flow_of(60, 60);
+  send(later, token_of_tag(1), 1);
+  send(later, token_of_tag(1), 1, 101, 200);
+  pass_with_progress(milliseconds(5000));
+  remove(2);
+  for (const reset_flow& reset : pass(milliseconds(3000))) {
+    BOOST_TEST(reset.target == "t-2");
+  }
+}
+
+// A dead target keeps its record for a while, and idle callers send their next requests to it.
+BOOST_AUTO_TEST_CASE(callers_that_send_to_a_target_found_dead_before_are_reset_by_new_evidence)
+{
+  pass_with_progress(milliseconds(6400));
+  for (int round = 0; round < 3; ++round) {
+    check({ "t-1" });
+    pass_with_progress(milliseconds(300));
+  }
+  const flow_key later = flow_of(60, 60);
+  send(later, token_of_tag(1), 1);
+  send(later, token_of_tag(1), 1, 101, 200);
+  std::vector<reset_flow> resets;
+  for (int round = 0; round < 5; ++round) {
+    const auto more = pass_with_progress(milliseconds(300));
+    resets.insert(resets.end(), more.begin(), more.end());
+    check({ "t-1" });
+  }
+  BOOST_TEST_REQUIRE(resets.size() == 1U);
+  BOOST_TEST((resets[0].flow == later));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
