Read the rate of the VM's link from the settings

Daemons of one domain have links from 10 to 200 Mbit/s, and none of them knows its own. Add the setting link-rate-mbps, which the platform's template fills in, and name it in the line on the start. Nothing depends on it yet.

--- a/programs/coltsfootlockd/carried/carried_mode.cpp
+++ b/programs/coltsfootlockd/carried/carried_mode.cpp
@@ -6,6 +6,7 @@
 
 #include "coltsfootlock/transport/log.h"
 
+#include <cmath>
 #include <iostream>
 #include <utility>
 
@@ -50,7 +51,8 @@
   write_log(log_level::info,
             "daemon",
             "starts vm=" + settings->steering.self + " domain=" + settings->steering.domain +
-              " packets=" + to_string(settings->packet_address) + " store=" + to_string(settings->platform));
+              " packets=" + to_string(settings->packet_address) + " store=" + to_string(settings->platform) +
+              " link_kbps=" + std::to_string(std::lround(settings->link_rate_mbps * 1000)));
   daemon.run();
   stop_log();
   return 0;
--- a/programs/coltsfootlockd/carried/carried_settings.cpp
+++ b/programs/coltsfootlockd/carried/carried_settings.cpp
@@ -35,7 +35,8 @@
       !read_optional_address(values, "call-address", result.call_address, why) ||
       !read_optional_address(values, "metrics-address", result.metrics_address, why) ||
       !read_seeds(values, result.seeds, why) || !read_level(values, result.min_log_level, why) ||
-      !read_times(values, result, why)) {
+      !read_times(values, result, why) ||
+      !read_number(values, "link-rate-mbps", "Mbit/s", 0.1, 1e6, result.link_rate_mbps, why)) {
     return std::nullopt;
   }
   if (result.metrics_address == result.ready_address) {
--- a/programs/coltsfootlockd/carried/carried_settings.h
+++ b/programs/coltsfootlockd/carried/carried_settings.h
@@ -22,6 +22,7 @@
   std::vector<endpoint> seeds;
   log_level min_log_level = log_level::info;
   milliseconds shutdown_grace{ 6000 };
+  double link_rate_mbps = 1000; ///< Rate of this VM's link.
   steering_settings steering;
   follower_settings follower;
 
--- a/programs/coltsfootlockd/setting_definition.cpp
+++ b/programs/coltsfootlockd/setting_definition.cpp
@@ -48,6 +48,7 @@
     { "ready-address", "IP:port", "", address_range, "Carried: TCP address of GET /ready; required" },
     { "target-heartbeat", "ms", "1000", "10 to 60000", "Carried: interval of the targets' reports to the platform" },
     { "flow-lifetime-s", "s", "60", "1 to 86400", "Carried: flows older than this may be forgotten" },
+    { "link-rate-mbps", "Mbit/s", "1000", "0.1 to 1000000", "Carried: rate of this VM's link, fractions allowed" },
     { "shutdown-grace-s", "s", "6", "1 to 600", "Carried: time from SIGTERM until the process must have ended" },
     { "log-level", "level", "info", "debug, info, warning, error", "Lowest level of the lines in the log" },
   };
--- a/programs/coltsfootlockd/setting_values.cpp
+++ b/programs/coltsfootlockd/setting_values.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <sstream>
 #include <string_view>
 
 namespace coltsfootlock {
@@ -141,4 +142,30 @@
   return true;
 }
 
+bool
+read_number(const value_map& values,
+            const std::string& flag,
+            const std::string& unit,
+            double min_value,
+            double max_value,
+            double& result,
+            error& why)
+{
+  const auto found = values.find(flag);
+  if (found == values.end()) {
+    return true;
+  }
+  const std::string& text = found->second;
+  double value = 0;
+  const auto [end, status] = std::from_chars(text.data(), text.data() + text.size(), value, std::chars_format::fixed);
+  if (status != std::errc() || end != text.data() + text.size() || !(value >= min_value && value <= max_value)) {
+    std::ostringstream remedy;
+    remedy << "give a number of " << unit << " from " << min_value << " to " << max_value;
+    why = invalid_value(flag, text, remedy.str());
+    return false;
+  }
+  result = value;
+  return true;
+}
+
 }
--- a/programs/coltsfootlockd/setting_values.h
+++ b/programs/coltsfootlockd/setting_values.h
@@ -44,4 +44,14 @@
                   std::uint64_t& result,
                   error& why);
 
+/// The same for a number with an optional fraction.
+bool
+read_number(const value_map& values,
+            const std::string& flag,
+            const std::string& unit,
+            double min_value,
+            double max_value,
+            double& result,
+            error& why);
+
 }
--- a/programs/coltsfootlockd/tests/test_carried.cpp
+++ b/programs/coltsfootlockd/tests/test_carried.cpp
@@ -47,12 +47,14 @@
   value_map values = valid_values();
   values["target-heartbeat"] = "770";
   values["shutdown-grace-s"] = "9";
+  values["link-rate-mbps"] = "0.5";
   values["seeds"] = "10.0.0.1:1,10.0.0.2:2";
   const auto settings = read_carried_settings(values, why);
   BOOST_REQUIRE_MESSAGE(settings.has_value(), why.message);
   BOOST_TEST(settings->steering.domain == "a");
   BOOST_TEST(settings->steering.target_heartbeat.count() == 770);
   BOOST_TEST(settings->shutdown_grace.count() == 9000);
+  BOOST_TEST(settings->link_rate_mbps == 0.5);
   BOOST_TEST(settings->seeds.size() == 2U);
 }
 
@@ -68,6 +70,9 @@
     { "target-heartbeat", "5" },
     { "flow-lifetime-s", "0" },
     { "shutdown-grace-s", "x" },
+    { "link-rate-mbps", "0" },
+    { "link-rate-mbps", "nan" },
+    { "link-rate-mbps", "10Mbit" },
     { "seeds", "a" },
     { "log-level", "loud" },
   };
