Keep idle flows of a new incarnation when its record arrives late

Callers could see resets on open flows whose target had restarted before they opened them.

Cause: when the record of a new incarnation arrived, a daemon reset all flows of the target that had no progress for one heartbeat. The record reaches a follower seconds after the restart, and a caller that pauses between two requests makes no progress either. Its flow belongs to the new incarnation.

A flow is reset now if its last progress is older than the earliest time at which the new incarnation can have started: the time at which the records were last confirmed with the previous incarnation, less one heartbeat, within which a target publishes its record. A flow in between is left to the target, which itself resets what it does not know.

--- a/include/coltsfootlock/coordination/steering/steering_engine.h
+++ b/include/coltsfootlock/coordination/steering/steering_engine.h
@@ -98,6 +98,14 @@
     instant found;
   };
 
+  /// A target whose record shows a new incarnation. Flows without progress since `not_before`, the earliest time at
+  /// which it can have started, belong to a previous one.
+  struct restarted_target
+  {
+    vm_id id;
+    instant not_before;
+  };
+
   steering_decision on_opening(const carried_packet& packet, instant now);
   steering_decision on_repeated_opening(const carried_packet& packet, carried_flow& flow, instant now);
   steering_decision on_established(const carried_packet& packet, instant now);
@@ -114,9 +122,11 @@
   bool may_warm_up(target_state& target, instant now) const;
   void start_awaiting(target_state& target, instant now);
   bool may_reset(const flow_key& key, const carried_flow& flow) const;
+  static bool belongs_to_previous_incarnation(const carried_flow& flow, const std::vector<restarted_target>& restarted);
   static const dead_target* found_dead(const carried_flow& flow, const std::vector<dead_target>& dead);
   void reset_flows_of_lost_targets(instant now, std::vector<reset_flow>& resets);
   void expire_idle_flows(instant now);
+  void on_restart(const vm_id& id);
   void report(const char* part, std::string message);
   void report_target(const target_state& target, const std::string& event, instant now);
   std::string check_evidence(const target_state& target, check_outcome outcome, instant now);
@@ -142,8 +152,8 @@
   std::size_t daemons_in_domain_ = 1;
   steering_counters counters_;
   std::vector<steering_event> events_;
-  std::vector<placement_candidate> candidates_; ///< Member to avoid an allocation per flow.
-  std::vector<vm_id> restarted_;
+  std::vector<placement_candidate> candidates_;     ///< Member to avoid an allocation per flow.
+  std::vector<restarted_target> restarted_targets_; ///< Found since the last tick.
 };
 
 }
--- a/libraries/coordination/steering/steering_engine.cpp
+++ b/libraries/coordination/steering/steering_engine.cpp
@@ -78,7 +78,7 @@
         return;
       }
       if (effect == target_directory::effect::restarted) {
-        engine.restarted_.push_back(content.target.vm.id);
+        engine.on_restart(content.target.vm.id);
       }
       engine.report_target(*engine.targets_.find(content.target.vm.id),
                            effect == target_directory::effect::restarted ? "restarted" : "published",
@@ -122,6 +122,16 @@
   std::visit(visitor{ *this, change.revision, outage_grace_end, now }, change.content);
 }
 
+/// The previous incarnation was still on record when the records were last known to be complete, and a target publishes
+/// its record within a heartbeat of its start.
+void
+steering_engine::on_restart(const vm_id& id)
+{
+  if (confirmed_at_) {
+    restarted_targets_.push_back({ id, *confirmed_at_ - settings_.target_heartbeat });
+  }
+}
+
 void
 steering_engine::on_snapshot_begin()
 {
@@ -192,7 +202,7 @@
   std::vector<reset_flow> resets;
   // Targets are kept that long so that late packets of their flows can be attributed to them.
   targets_.tick(settings_.flow_lifetime, now);
-  bool lost = !restarted_.empty() || !dead_targets_.empty();
+  bool lost = !restarted_targets_.empty() || !dead_targets_.empty();
   targets_.for_each([&](const target_state& target) {
     lost = lost || (target.phase == target_phase::gone && target.open_flows > 0 && is_quiet(target, now));
   });
--- a/libraries/coordination/steering/target_loss_decisions.cpp
+++ b/libraries/coordination/steering/target_loss_decisions.cpp
@@ -160,6 +160,15 @@
   return wanted != nullptr && wanted->idempotent;
 }
 
+bool
+steering_engine::belongs_to_previous_incarnation(const carried_flow& flow,
+                                                 const std::vector<restarted_target>& restarted)
+{
+  return std::any_of(restarted.begin(), restarted.end(), [&flow](const restarted_target& one) {
+    return one.id == flow.target && flow.last_progress < one.not_before;
+  });
+}
+
 /// Null if the flow was first seen, or its target answered on it, after the checks that found the target dead.
 const steering_engine::dead_target*
 steering_engine::found_dead(const carried_flow& flow, const std::vector<dead_target>& dead)
@@ -176,7 +185,7 @@
 void
 steering_engine::reset_flows_of_lost_targets(instant now, std::vector<reset_flow>& resets)
 {
-  const std::vector<vm_id> restarted = std::exchange(restarted_, {});
+  const std::vector<restarted_target> restarted_targets = std::exchange(restarted_targets_, {});
   const std::vector<dead_target> dead_targets = std::exchange(dead_targets_, {});
   flows_.erase_if([&](const flow_key& key, const carried_flow& flow) {
     const target_state* target = targets_.find(flow.target);
@@ -184,8 +193,7 @@
       return true;
     }
     const bool gone = target->phase == target_phase::gone && is_quiet(*target, now);
-    const bool target_restarted = std::find(restarted.begin(), restarted.end(), flow.target) != restarted.end() &&
-                                  now - std::max(flow.last_progress, flow.opened) > settings_.target_heartbeat;
+    const bool target_restarted = belongs_to_previous_incarnation(flow, restarted_targets);
     const dead_target* dead = may_reset(key, flow) ? found_dead(flow, dead_targets) : nullptr;
     if (!gone && !target_restarted && dead == nullptr) {
       return false;
--- a/libraries/coordination/steering/tests/test_steering_engine.cpp
+++ b/libraries/coordination/steering/tests/test_steering_engine.cpp
@@ -352,6 +352,7 @@
   publish(make_target(1, "a"));
   establish(flow_of(1));
   pass(milliseconds(2000));
+  engine.on_confirmed(now);
   target_record restarted = make_target(1, "a");
   restarted.vm.incarnation = 2;
   establish(flow_of(2, 2)); // Reached the new incarnation just before its record did.
@@ -362,6 +363,20 @@
   BOOST_TEST((resets[0].reason == flow_end_reason::target_restarted));
 }
 
+// The record of a new incarnation arrives seconds after callers have opened flows to it.
+BOOST_AUTO_TEST_CASE(idle_flows_of_a_new_incarnation_are_kept_when_its_record_arrives_late)
+{
+  publish(make_target(1, "a"));
+  pass(milliseconds(3000));
+  engine.on_confirmed(now);
+  establish(flow_of(1));
+  pass(milliseconds(2000));
+  target_record restarted = make_target(1, "a");
+  restarted.vm.incarnation = 2;
+  publish(restarted);
+  BOOST_TEST(pass(milliseconds(300)).empty());
+}
+
 BOOST_AUTO_TEST_CASE(records_never_go_back)
 {
   target_record leaving = make_target(1, "a");
