Reset flows of a target that is gone only while the records are current

Callers could see resets on flows whose target is back, from a daemon that receives no records.

Cause: a removed record stayed a reason for resets for the whole lifetime of flows, however old the daemon's records had become meanwhile. A daemon without current records does not learn that the target has published its record again.

Such resets now need records that were confirmed within the limit that also holds for resets of flows to unknown services. Until then packets are forwarded.

--- a/include/coltsfootlock/coordination/steering/steering_engine.h
+++ b/include/coltsfootlock/coordination/steering/steering_engine.h
@@ -115,6 +115,7 @@
   void observe_packet(const carried_packet& packet, target_state& target, instant now);
   void suspect(target_state& target, const char* evidence, instant now);
   bool is_quiet(const target_state& target, instant now) const;
+  bool is_gone(const target_state& target, instant now) const;
   void on_silent_check(target_state& target, instant now);
   bool records_are_fresh(instant now) const;
   void on_target_progress(carried_flow& flow, target_state& target, instant now);
--- a/libraries/coordination/steering/open_flow_decisions.cpp
+++ b/libraries/coordination/steering/open_flow_decisions.cpp
@@ -48,7 +48,7 @@
   if (target == nullptr) {
     return drop(why);
   }
-  if (target->phase == target_phase::gone && is_quiet(*target, now)) {
+  if (is_gone(*target, now)) {
     if (const carried_flow* flow = flows_.find(packet.flow)) {
       release_flow(*flow);
       flows_.erase(packet.flow);
--- a/libraries/coordination/steering/steering_engine.cpp
+++ b/libraries/coordination/steering/steering_engine.cpp
@@ -203,9 +203,8 @@
   // Targets are kept that long so that late packets of their flows can be attributed to them.
   targets_.tick(settings_.flow_lifetime, now);
   bool lost = !restarted_targets_.empty() || !dead_targets_.empty();
-  targets_.for_each([&](const target_state& target) {
-    lost = lost || (target.phase == target_phase::gone && target.open_flows > 0 && is_quiet(target, now));
-  });
+  targets_.for_each(
+    [&](const target_state& target) { lost = lost || (target.open_flows > 0 && is_gone(target, now)); });
   if (lost) {
     reset_flows_of_lost_targets(now, resets);
   }
--- a/libraries/coordination/steering/target_loss_decisions.cpp
+++ b/libraries/coordination/steering/target_loss_decisions.cpp
@@ -36,6 +36,14 @@
   return now - std::max(target.last_progress, observing_since_) > 2 * settings_.target_heartbeat;
 }
 
+/// True if the records show now that the target is gone, and no packet shows the contrary. Without current records the
+/// daemon would not learn that the target is back.
+bool
+steering_engine::is_gone(const target_state& target, instant now) const
+{
+  return target.phase == target_phase::gone && records_are_fresh(now) && is_quiet(target, now);
+}
+
 /// Load patterns: a target stops answering, or its domain is cut off. Callers whose packets it has acknowledged wait
 /// without sending anything, and its record stays for three heartbeats, which is longer than many callers wait. Only
 /// targets that leave a caller without an answer for longer than usual are checked.
@@ -192,7 +200,7 @@
     if (target == nullptr) {
       return true;
     }
-    const bool gone = target->phase == target_phase::gone && is_quiet(*target, now);
+    const bool gone = is_gone(*target, now);
     const bool target_restarted = belongs_to_previous_incarnation(flow, restarted_targets);
     const dead_target* dead = may_reset(key, flow) ? found_dead(flow, dead_targets) : nullptr;
     if (!gone && !target_restarted && dead == nullptr) {
--- a/libraries/coordination/steering/tests/steering_fixture.h
+++ b/libraries/coordination/steering/tests/steering_fixture.h
@@ -81,6 +81,7 @@
   void remove(std::uint64_t tag)
   {
     engine.on_record({ ++revision, target_removed{ "t-" + std::to_string(tag) } }, outage_grace_end, now);
+    engine.on_confirmed(now);
   }
 
   /// Advances the time in ticks and returns the resets.
