Give removed records a grace period after a gap in a daemon's own records

Cause: while a domain is cut off from the store, the records of its targets expire. Removed records have a grace period after an outage, but only a daemon that has seen its own calls to the store fail, and those that follow it, knew of one. The daemons of the domain took the records from another domain as soon as the partition ended; that one had seen no outage. So a removal was judged by an observer that had not been watching.

A daemon now gives removed records the grace period whenever its own records were not confirmed for longer than the usual interval, whichever source ends the gap.

--- a/include/coltsfootlock/coordination/steering/record_follower.h
+++ b/include/coltsfootlock/coordination/steering/record_follower.h
@@ -43,6 +43,11 @@
   /// For this long after an outage of the store, a missing record may be a consequence of the outage.
   milliseconds outage_grace{ 2500 };
 
+  /// If the records were not confirmed for longer than this, the daemon may have missed such an outage or a partition.
+  /// Above the usual interval between confirmations, which is `watch_wait`; and about the time in which a partition
+  /// makes a record expire, three heartbeats less the one that may have passed before it.
+  milliseconds max_record_gap{ 1700 };
+
   auto operator<=>(const follower_settings&) const = default;
 };
 
@@ -90,7 +95,7 @@
   /// True while some pages of a list have been received and more follow. A change of the source restarts the list.
   bool listing_in_progress() const { return !list_after_.empty() && failures_ == 0; }
 
-  /// Until then a missing record may be a consequence of an outage of the store.
+  /// Until then a missing record may be a consequence of an outage of the store or of a partition.
   instant outage_grace_end() const { return outage_grace_end_; }
 
   /// Failed calls to the store since its last response.
@@ -107,6 +112,7 @@
   progress on(const history_unavailable& response, instant now);
   progress on(const call_failed& response, instant now);
   void on_call_success(progress& result, const response_age& age, instant now);
+  bool missed_an_outage(const response_age& age, instant now) const;
   void consume_call_budget(instant now);
   void confirm(instant at);
 
--- a/libraries/coordination/steering/record_follower.cpp
+++ b/libraries/coordination/steering/record_follower.cpp
@@ -66,12 +66,23 @@
     result.regained = true;
     outage_grace_end_ = now + settings_.outage_grace;
   }
+  if (missed_an_outage(age, now)) {
+    outage_grace_end_ = now + settings_.outage_grace;
+  }
   if (!from_peer_) {
     failures_ = 0;
   }
   outage_grace_end_ = std::max(outage_grace_end_, now + age.outage_grace_left);
 }
 
+/// True if the records of the response are much newer than the last ones. Its sender need not have been affected by
+/// what kept this daemon from them.
+bool
+record_follower::missed_an_outage(const response_age& age, instant now) const
+{
+  return confirmed_at_ && now - age.records - *confirmed_at_ > settings_.max_record_gap;
+}
+
 void
 record_follower::on_peer_failure()
 {
--- a/libraries/coordination/steering/tests/test_record_follower.cpp
+++ b/libraries/coordination/steering/tests/test_record_follower.cpp
@@ -127,6 +127,28 @@
   BOOST_TEST((follower.outage_grace_end() == now + settings.outage_grace));
 }
 
+// Load pattern: a domain is cut off, and the records of its targets expire. When the partition ends, its daemons learn
+// of that from another domain, which was not cut off, before the targets have published their records again.
+BOOST_AUTO_TEST_CASE(records_removed_during_a_partition_have_a_grace_period_for_those_who_learn_of_it_later)
+{
+  const auto events_from_peer = [this](std::uint64_t revision, milliseconds age) {
+    BOOST_REQUIRE(follower.next_call(true, now).has_value());
+    follower.on_response(record_events{ {}, revision, { age, milliseconds(0) } }, now);
+  };
+  list(50);
+  now += milliseconds(1300);
+  events_from_peer(51, milliseconds(100));
+  BOOST_TEST((follower.outage_grace_end() <= now));
+  now += milliseconds(1300);
+  events_from_peer(51, milliseconds(1400)); // The source is cut off as well.
+  now += milliseconds(3000);
+  BOOST_REQUIRE(follower.next_call(true, now).has_value());
+  follower.on_peer_failure();
+  BOOST_TEST((follower.outage_grace_end() <= now));
+  events_from_peer(90, milliseconds(100));
+  BOOST_TEST((follower.outage_grace_end() == now + settings.outage_grace));
+}
+
 // Load pattern: changes in quick succession while many daemons watch. They are collected instead of causing a call
 // each.
 BOOST_AUTO_TEST_CASE(many_changes_cost_a_bounded_number_of_calls)
--- a/programs/coltsfootlockd/carried/carried_settings.cpp
+++ b/programs/coltsfootlockd/carried/carried_settings.cpp
@@ -1,5 +1,7 @@
 #include "carried/carried_settings.h"
 
+#include <algorithm>
+
 namespace coltsfootlock {
 
 namespace {
@@ -17,6 +19,7 @@
   }
   result.steering.target_heartbeat = milliseconds(static_cast<milliseconds::rep>(heartbeat));
   result.steering.flow_lifetime = seconds(static_cast<seconds::rep>(lifetime));
+  result.follower.max_record_gap = std::max(result.follower.max_record_gap, 2 * result.steering.target_heartbeat);
   result.shutdown_grace = seconds(static_cast<seconds::rep>(grace));
   return true;
 }
