Choose daemons with fast links as sources of records

Callers of a daemon that relays records share its link with them.

Daemons state the rate of their link when they register with a seed, and the rank of a source is that rate, then the hash. Among equal links nothing changes.

--- a/include/coltsfootlock/coordination/steering/source_choice.h
+++ b/include/coltsfootlock/coordination/steering/source_choice.h
@@ -18,6 +18,7 @@
   std::string id;
   std::string domain;
   endpoint call_address;
+  std::uint32_t link_kbps = 0; ///< Rate of its VM's link; 0 if it did not state one.
 
   auto operator<=>(const fleet_member&) const = default;
 };
@@ -34,7 +35,8 @@
 /// Chooses the source of the platform's records: the store, or another daemon of the domain.
 ///
 /// Load pattern: many daemons watch a store whose calls are expensive and rate-limited. The daemon of each domain with
-/// the highest hash rank reads the store, and the others follow it. This needs no agreement: every response carries the
+/// the highest rank, which is the one with the fastest link and among equals a hash, reads the store, and the others
+/// follow it. This needs no agreement: every response carries the
 /// age of its records, so a daemon that follows the wrong one detects outdated records. A daemon that responds late,
 /// not at all, or with old records is excluded for a while; if no other daemon is left, the store is read directly.
 ///
@@ -57,7 +59,8 @@
   static constexpr milliseconds initial_exclusion{ 4000 };
   static constexpr milliseconds max_exclusion{ 32000 };
 
-  source_choice(std::string self, std::string domain);
+  /// `link_kbps`: rate of this VM's link.
+  explicit source_choice(std::string self, std::string domain, std::uint32_t link_kbps = 0);
 
   void on_member(const fleet_member& member, instant now);
 
@@ -103,11 +106,19 @@
   void on_discovery_started(instant now);
 
 private:
+  struct source_rank
+  {
+    std::uint32_t link_kbps = 0;
+    std::uint64_t hash = 0;
+
+    auto operator<=>(const source_rank&) const = default;
+  };
+
   struct member_state
   {
     fleet_member member;
     instant last_seen;
-    std::uint64_t rank = 0; ///< The member with the highest rank of a domain reads the store.
+    source_rank rank; ///< The member with the highest rank of a domain reads the store.
     int failures = 0;
     instant excluded_until;
   };
@@ -119,7 +130,7 @@
 
   const std::string self_;
   const std::string domain_;
-  const std::uint64_t self_rank_;
+  const source_rank self_rank_;
   std::map<std::string, member_state> members_;
   std::size_t reported_daemons_ = 1;
   instant next_discovery_;
--- a/libraries/coordination/steering/source_choice.cpp
+++ b/libraries/coordination/steering/source_choice.cpp
@@ -8,10 +8,10 @@
 
 namespace coltsfootlock {
 
-source_choice::source_choice(std::string self, std::string domain)
+source_choice::source_choice(std::string self, std::string domain, std::uint32_t link_kbps)
   : self_(std::move(self))
   , domain_(std::move(domain))
-  , self_rank_(rendezvous_score(hash_text(domain_), self_))
+  , self_rank_{ link_kbps, rendezvous_score(hash_text(domain_), self_) }
 {
 }
 
@@ -29,7 +29,7 @@
   }
   state.member = member;
   state.last_seen = now;
-  state.rank = rendezvous_score(hash_text(member.domain), member.id);
+  state.rank = { member.link_kbps, rendezvous_score(hash_text(member.domain), member.id) };
 }
 
 std::size_t
--- a/libraries/coordination/steering/tests/test_source_choice.cpp
+++ b/libraries/coordination/steering/tests/test_source_choice.cpp
@@ -204,6 +204,32 @@
   BOOST_TEST(next.size() >= 4U);
 }
 
+// Load pattern: two daemons of a domain have fast links, the others slow ones. A large catalogue that a slow one sends
+// to all others delays the packets that it forwards.
+BOOST_AUTO_TEST_CASE(records_are_read_and_sent_by_daemons_with_fast_links)
+{
+  const auto link_of = [](int number) { return number == 11 || number == 23 ? 200000U : 10000U; };
+  std::map<std::string, std::set<std::string>> readers_and_followers;
+  for (int number = 0; number < 28; ++number) {
+    source_choice daemon(member(number).id, "a", link_of(number));
+    for (int other = 0; other < 28; ++other) {
+      fleet_member reported = member(other);
+      reported.link_kbps = link_of(other);
+      daemon.on_member(reported, now);
+    }
+    const auto first = daemon.peer(now);
+    readers_and_followers[first ? first->id : "store"].insert(member(number).id);
+    if (first) {
+      daemon.on_failure(first->id, now);
+      const auto second = daemon.peer(now);
+      BOOST_TEST((!second || second->id == member(11).id || second->id == member(23).id));
+    }
+  }
+  BOOST_TEST(readers_and_followers.size() == 2U);
+  const std::string reader = *readers_and_followers["store"].begin();
+  BOOST_TEST((reader == member(11).id || reader == member(23).id));
+}
+
 BOOST_AUTO_TEST_CASE(members_that_are_not_reported_are_removed)
 {
   now += source_choice::member_lifetime + milliseconds(1);
--- a/libraries/protocol/relay_codec.cpp
+++ b/libraries/protocol/relay_codec.cpp
@@ -348,7 +348,10 @@
 {
   json list = json::array();
   for (const fleet_member& member : response.members) {
-    list.push_back({ { "id", member.id }, { "domain", member.domain }, { "address", to_string(member.call_address) } });
+    list.push_back({ { "id", member.id },
+                     { "domain", member.domain },
+                     { "address", to_string(member.call_address) },
+                     { "link_kbps", member.link_kbps } });
   }
   return to_bytes({ { "members", std::move(list) }, { "daemons", response.daemons_in_domain } });
 }
@@ -364,8 +367,10 @@
   json_fields fields(content, "", why);
   result.daemons_in_domain = fields.small_number("daemons", 0, max_elements);
   fields.each("members", max_elements, [&result](json_fields& member) {
-    result.members.push_back(
-      { member.text("id", max_text_bytes), member.text("domain", max_text_bytes), member.address("address") });
+    result.members.push_back({ member.text("id", max_text_bytes),
+                               member.text("domain", max_text_bytes),
+                               member.address("address"),
+                               member.small_number_or("link_kbps", 0, max_small_number, 0) });
   });
   if (!fields.ok()) {
     return std::nullopt;
--- a/libraries/protocol/tests/test_relay_codec.cpp
+++ b/libraries/protocol/tests/test_relay_codec.cpp
@@ -54,7 +54,7 @@
   BOOST_TEST((decode_events(bytes) == record_response(events)));
   const record_page page{ one_of_each_kind(), 12, "", false, { milliseconds(30), milliseconds(40) } };
   BOOST_TEST((decode_page(bytes) == record_response(page)));
-  const member_list list{ { { "entry-1", "a", { 0x0a000001, 80 } } }, 17 };
+  const member_list list{ { { "entry-1", "a", { 0x0a000001, 80 }, 10000 } }, 17 };
   error why;
   BOOST_TEST((decode_member_list(encode_member_list(list), why) == list));
 }
@@ -82,8 +82,8 @@
   BOOST_TEST((decode_events(bytes) == record_response(expected)));
 }
 
-// Load pattern: a catalogue of 1,500 services changes, and a daemon with a link of 10 Mbit/s sends it to 32 followers, the
-// most that follow one daemon. They wait 1 s for an answer, which leaves 26 bytes per service.
+// Load pattern: a catalogue of 1,500 services changes, and a daemon with a link of 10 Mbit/s sends it to 32 followers,
+// the most that follow one daemon. They wait 1 s for an answer, which leaves 26 bytes per service.
 BOOST_AUTO_TEST_CASE(a_large_catalogue_reaches_all_followers_before_they_leave)
 {
   auto value = std::make_shared<catalogue>();
--- a/programs/coltsfootlockd/carried/carried_daemon.cpp
+++ b/programs/coltsfootlockd/carried/carried_daemon.cpp
@@ -11,6 +11,7 @@
 #include "coltsfootlock/transport/log.h"
 
 #include <algorithm>
+#include <cmath>
 #include <span>
 #include <string>
 #include <utility>
@@ -43,6 +44,12 @@
 /// Part of the grace period that is reserved for the exit of the process.
 constexpr milliseconds exit_margin{ 1000 };
 
+std::uint32_t
+link_kbps(const carried_settings& settings)
+{
+  return static_cast<std::uint32_t>(std::lround(settings.link_rate_mbps * 1000));
+}
+
 bool
 any_ready(std::span<const pollfd> waited)
 {
@@ -59,7 +66,7 @@
   , settings_(settings)
   , engine_(settings.steering)
   , packets_(std::move(socket), engine_)
-  , sources_(settings.steering.self, settings.steering.domain)
+  , sources_(settings.steering.self, settings.steering.domain, link_kbps(settings))
   , records_(settings.platform,
              settings.follower,
              static_cast<std::uint32_t>(hash_text(settings.steering.self)),
@@ -88,7 +95,9 @@
   peer_server_ = std::move(server);
   peer_pages::add_pages(*peer_server_, records_, sources_, settings_.follower.max_peer_record_age);
   member_discovery_.emplace(
-    fleet_member{ settings_.steering.self, settings_.steering.domain, call_address }, settings_.seeds, sources_);
+    fleet_member{ settings_.steering.self, settings_.steering.domain, call_address, link_kbps(settings_) },
+    settings_.seeds,
+    sources_);
 }
 
 page
--- a/programs/coltsfootlockd/carried/peer_pages.cpp
+++ b/programs/coltsfootlockd/carried/peer_pages.cpp
@@ -3,7 +3,9 @@
 #include "coltsfootlock/coordination/steering/watch_response.h"
 #include "coltsfootlock/protocol/relay_codec.h"
 
+#include <algorithm>
 #include <charconv>
+#include <limits>
 #include <memory>
 #include <optional>
 
@@ -17,6 +19,7 @@
 constexpr int status_unavailable = 503;
 constexpr const char* binary = "application/msgpack";
 constexpr std::uint64_t max_wait_ms = 30000;
+constexpr std::uint64_t max_link_kbps = std::numeric_limits<std::uint32_t>::max();
 
 std::optional<std::uint64_t>
 number_of(const page_request& request, const std::string& name)
@@ -87,7 +90,11 @@
 members_page(source_choice& sources, const page_request& request, instant now)
 {
   const auto address = parse_endpoint(text_of(request, "address"));
-  const fleet_member requester{ text_of(request, "vm"), text_of(request, "domain"), address.value_or(endpoint{}) };
+  const std::uint64_t link_kbps = number_of(request, "link_kbps").value_or(0);
+  const fleet_member requester{ text_of(request, "vm"),
+                                text_of(request, "domain"),
+                                address.value_or(endpoint{}),
+                                static_cast<std::uint32_t>(std::min(link_kbps, max_link_kbps)) };
   if (!address || requester.id.empty() || requester.domain.empty()) {
     return { status_bad_request, "", "text/plain" };
   }
@@ -164,7 +171,8 @@
 std::string
 member_list_request_target(const fleet_member& self)
 {
-  return "/members?vm=" + self.id + "&domain=" + self.domain + "&address=" + to_string(self.call_address);
+  return "/members?vm=" + self.id + "&domain=" + self.domain + "&address=" + to_string(self.call_address) +
+         "&link_kbps=" + std::to_string(self.link_kbps);
 }
 
 void
