Judge a target only by the check that has just been conclusive

Callers could still see resets on served flows from a daemon whose own link is congested or that was paused, if it had found the target dead shortly before; and two lost packets right after a congestion were enough to judge a target.

Cause: a silent check that did not count still met the limit that earlier ones had reached, so that inconclusive checks renewed a judgement. The first check of a series counted without any answer to a later one.

Only a check that is itself conclusive can lead to a judgement now, and three conclusive ones are needed. The first silence only leads to the check of a reference target, so a silent target is found dead one round (0.3 s) later.

--- a/include/coltsfootlock/coordination/steering/steering_engine.h
+++ b/include/coltsfootlock/coordination/steering/steering_engine.h
@@ -116,7 +116,7 @@
   void suspect(target_state& target, const char* evidence, instant now);
   bool is_quiet(const target_state& target, instant now) const;
   bool is_gone(const target_state& target, instant now) const;
-  void on_silent_check(target_state& target, instant now);
+  bool on_silent_check(target_state& target, instant now);
   bool records_are_fresh(instant now) const;
   void on_target_progress(carried_flow& flow, target_state& target, instant now);
   void release_flow(const carried_flow& flow);
--- a/include/coltsfootlock/coordination/steering/target_state.h
+++ b/include/coltsfootlock/coordination/steering/target_state.h
@@ -37,6 +37,7 @@
   instant check_started;            ///< When the last check started.
   std::uint64_t check_number = 0;   ///< Of the last check; counts the checks of this daemon.
   instant next_check;               ///< No check before this time.
+  bool checked_in_vain = false;     ///< The last check was not answered, conclusive or not.
   unsigned silent_checks = 0;       ///< Consecutive conclusive checks without an answer, reset by any answer.
   instant first_silent_check;       ///< When the first of them started.
   instant last_silent_check;        ///< When the last of them started.
--- a/libraries/coordination/steering/open_flow_decisions.cpp
+++ b/libraries/coordination/steering/open_flow_decisions.cpp
@@ -134,6 +134,7 @@
   target.repeated_packets = 0;
   target.awaiting_since = now;
   target.silent_checks = 0;
+  target.checked_in_vain = false;
   isolation_.on_progress();
   target.pending_since = now;
   target.suspected_until = instant{};
--- a/libraries/coordination/steering/target_directory.cpp
+++ b/libraries/coordination/steering/target_directory.cpp
@@ -98,6 +98,7 @@
   if (is_new || restarted || target.phase == target_phase::gone) {
     target.suspected_until = instant{};
     target.silent_checks = 0;
+    target.checked_in_vain = false;
     target.cold_allowance = 0;
     target.cold_allowance_at = now;
   }
--- a/libraries/coordination/steering/target_loss_decisions.cpp
+++ b/libraries/coordination/steering/target_loss_decisions.cpp
@@ -69,7 +69,7 @@
     const bool due = target.awaiting_flows > 0 &&
                      now - std::max(target.awaiting_since, observing_since_) > steering_timing::check_delay;
     if (due) {
-      silence = silence || target.silent_checks > 0;
+      silence = silence || target.checked_in_vain;
       start(target);
     } else if (target.record.vm.domain == settings_.domain && target.suspected_until <= now &&
                (reference_target == nullptr || target.last_progress > reference_target->last_progress)) {
@@ -102,18 +102,16 @@
   }
   if (outcome == check_outcome::accepted) {
     target->silent_checks = 0;
+    target->checked_in_vain = false;
     if (target->awaiting_flows > 0) { // Otherwise it was checked only as the reference target.
       target->next_check = now + steering_timing::check_interval;
     }
     return;
   }
-  if (outcome == check_outcome::silent) {
-    on_silent_check(*target, now);
-  }
   // A target of another domain may still run behind a network partition, but callers of this daemon cannot reach it
   // either.
-  const bool unreachable = target->silent_checks >= steering_timing::min_silent_checks;
-  if (target->awaiting_flows > 0 && (outcome == check_outcome::refused || unreachable)) {
+  const bool lost = outcome == check_outcome::refused || on_silent_check(*target, now);
+  if (target->awaiting_flows > 0 && lost) {
     target->next_check = now + steering_timing::check_interval;
     target->suspected_until = now + 2 * steering_timing::suspicion_duration;
     dead_targets_.push_back({ id, target->check_started, now });
@@ -121,23 +119,25 @@
   }
 }
 
-/// Counts a silent check if it is conclusive. The first one of a series always counts, since there is no reference
-/// target before it; the later ones count if a check that was sent after them has been answered.
-void
+/// True if enough silent checks show that the target is unreachable. A silent check is conclusive if a check that was
+/// sent after it has been answered, and if it did not overlap with a pause or follow soon after a start.
+bool
 steering_engine::on_silent_check(target_state& target, instant now)
 {
+  target.checked_in_vain = true;
   suspect(target, "suspected evidence=silent_check", now);
   const bool settled = target.check_started - observing_since_ > steering_timing::silent_check_grace;
-  const bool consecutive = target.silent_checks > 0 &&
-                           target.check_started - target.last_silent_check <= steering_timing::max_silent_check_gap;
-  if (!consecutive) {
+  if (!settled || last_answered_check_ <= target.check_number) {
+    return false;
+  }
+  if (target.check_started - target.last_silent_check > steering_timing::max_silent_check_gap) {
     target.silent_checks = 0;
-    target.first_silent_check = target.check_started;
   }
-  if (!consecutive || (settled && last_answered_check_ > target.check_number)) {
-    ++target.silent_checks;
-    target.last_silent_check = target.check_started;
+  if (target.silent_checks++ == 0) {
+    target.first_silent_check = target.check_started;
   }
+  target.last_silent_check = target.check_started;
+  return target.silent_checks >= steering_timing::min_silent_checks;
 }
 
 /// What a judgement about a target rests on: its own checks, the last answers of its domain, and how many targets of
