Drop a judgement if the target answers before the flows are reset

Callers could see resets on served flows up to one tick (100 ms) after their target had answered another caller.

Cause: the tick that resets the flows of a dead target looked at the progress of each flow, but progress on one flow shows that the target is alive.

Failed before: a_target_that_answers_after_the_last_check_and_before_the_tick_is_ alive.

--- a/include/coltsfootlock/coordination/steering/steering_engine.h
+++ b/include/coltsfootlock/coordination/steering/steering_engine.h
@@ -124,7 +124,9 @@
   void start_awaiting(target_state& target, instant now);
   bool may_reset(const flow_key& key, const carried_flow& flow) const;
   static bool belongs_to_previous_incarnation(const carried_flow& flow, const std::vector<restarted_target>& restarted);
-  static const dead_target* found_dead(const carried_flow& flow, const std::vector<dead_target>& dead);
+  static const dead_target* found_dead(const carried_flow& flow,
+                                       const target_state& target,
+                                       const std::vector<dead_target>& dead);
   void reset_flows_of_lost_targets(instant now, std::vector<reset_flow>& resets);
   void expire_idle_flows(instant now);
   void on_restart(const vm_id& id);
--- a/libraries/coordination/steering/target_loss_decisions.cpp
+++ b/libraries/coordination/steering/target_loss_decisions.cpp
@@ -177,12 +177,12 @@
   });
 }
 
-/// Null if the flow was first seen, or its target answered on it, after the checks that found the target dead.
+/// Null if the flow was first seen, or the target answered on any flow, after the checks that found it dead.
 const steering_engine::dead_target*
-steering_engine::found_dead(const carried_flow& flow, const std::vector<dead_target>& dead)
+steering_engine::found_dead(const carried_flow& flow, const target_state& target, const std::vector<dead_target>& dead)
 {
-  const auto found = std::find_if(dead.begin(), dead.end(), [&flow](const dead_target& one) {
-    return one.id == flow.target && flow.last_progress < one.check_started;
+  const auto found = std::find_if(dead.begin(), dead.end(), [&](const dead_target& one) {
+    return one.id == flow.target && std::max(flow.last_progress, target.last_progress) < one.check_started;
   });
   return found == dead.end() ? nullptr : &*found;
 }
@@ -202,7 +202,7 @@
     }
     const bool gone = is_gone(*target, now);
     const bool target_restarted = belongs_to_previous_incarnation(flow, restarted_targets);
-    const dead_target* dead = may_reset(key, flow) ? found_dead(flow, dead_targets) : nullptr;
+    const dead_target* dead = may_reset(key, flow) ? found_dead(flow, *target, dead_targets) : nullptr;
     if (!gone && !target_restarted && dead == nullptr) {
       return false;
     }
--- a/libraries/coordination/steering/tests/test_target_checks.cpp
+++ b/libraries/coordination/steering/tests/test_target_checks.cpp
@@ -374,4 +374,19 @@
   }
 }
 
+// The tick that sends the resets may follow up to a tick interval after the check.
+BOOST_AUTO_TEST_CASE(a_target_that_answers_after_the_last_check_and_before_the_tick_is_alive)
+{
+  pass_with_progress(milliseconds(6400));
+  for (int round = 0; round < rounds_to_judgement; ++round) {
+    if (round > 0) {
+      pass_with_progress(milliseconds(300));
+    }
+    check({ "t-1" });
+  }
+  now += milliseconds(20);
+  send(flows_of_one[1], token_of_tag(1), 2);
+  BOOST_TEST(pass(milliseconds(50)).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
