Ignore the check of a target's previous incarnation or address

Callers could see resets on served flows of a target that was published with a new incarnation or address while a check of the previous one ran: its refusal counted against the new one.

A running check is marked when the record changes so, and its result is ignored.

Failed before: a_check_of_a_previous_address_shows_nothing_about_a_target_published_ since.

--- a/include/coltsfootlock/coordination/steering/target_state.h
+++ b/include/coltsfootlock/coordination/steering/target_state.h
@@ -34,6 +34,7 @@
   std::uint32_t awaiting_flows = 0; ///< Flows whose caller waits for an answer, including flows that are being opened.
   instant awaiting_since;           ///< Start of the time without any answer while a caller waits.
   bool check_running = false;       ///< True while a reachability check runs.
+  bool check_outdated = false;      ///< The running check concerns a previous incarnation or address.
   instant check_started;            ///< When the last check started.
   std::uint64_t check_number = 0;   ///< Of the last check; counts the checks of this daemon.
   instant next_check;               ///< No check before this time.
--- a/libraries/coordination/steering/target_directory.cpp
+++ b/libraries/coordination/steering/target_directory.cpp
@@ -95,6 +95,8 @@
     unindex(target);
   }
   const bool restarted = !is_new && target.record.vm.incarnation != record.vm.incarnation;
+  const bool moved = !is_new && target.record.vm.load_address != record.vm.load_address;
+  target.check_outdated = target.check_running && (target.check_outdated || restarted || moved);
   if (is_new || restarted || target.phase == target_phase::gone) {
     target.suspected_until = instant{};
     target.silent_checks = 0;
--- a/libraries/coordination/steering/target_loss_decisions.cpp
+++ b/libraries/coordination/steering/target_loss_decisions.cpp
@@ -91,6 +91,9 @@
   }
   target->check_running = false;
   ++counters_.check_outcomes[static_cast<std::size_t>(outcome)];
+  if (std::exchange(target->check_outdated, false)) {
+    return;
+  }
   const bool reached = outcome == check_outcome::accepted || outcome == check_outcome::refused;
   if (reached && target->record.vm.domain == settings_.domain) {
     check_answered_at_ = now;
--- a/libraries/coordination/steering/tests/test_target_checks.cpp
+++ b/libraries/coordination/steering/tests/test_target_checks.cpp
@@ -389,4 +389,27 @@
   BOOST_TEST(pass(milliseconds(50)).empty());
 }
 
+// A new incarnation is published at another address while the check of the previous address runs. Flows to the new one
+// were opened through daemons whose records are newer.
+BOOST_AUTO_TEST_CASE(a_check_of_a_previous_address_shows_nothing_about_a_target_published_since)
+{
+  pass_with_progress(milliseconds(400));
+  engine.on_confirmed(now);
+  const flow_key later = flow_of(60, 60);
+  send(later, token_of_tag(1), 1);
+  send(later, token_of_tag(1), 1, 101, 200);
+  now += milliseconds(50);
+  BOOST_TEST(targets_of(engine.start_due_checks(now)).contains("t-1"));
+  now += milliseconds(20);
+  target_record restarted = make_target(1, "a");
+  restarted.vm.incarnation = 2;
+  restarted.vm.packet_address.address += 100;
+  restarted.vm.load_address = restarted.vm.packet_address;
+  publish(restarted);
+  engine.on_check("t-1", check_outcome::refused, now);
+  for (const reset_flow& reset : pass(milliseconds(50))) {
+    BOOST_TEST((reset.flow != later));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
