Let a lapsed record end only by records that cover its grace period

Callers could see resets on served flows at the end of the grace period after an outage, from a daemon that had received no records in its second half: the records last confirmed before still counted as current.

A lapsed target is gone only once the records are confirmed as of the end of the grace period and still lack it.

--- a/libraries/coordination/steering/steering_engine.cpp
+++ b/libraries/coordination/steering/steering_engine.cpp
@@ -201,7 +201,7 @@
   isolation_.tick(records_are_fresh(now), now);
   std::vector<reset_flow> resets;
   // Targets are kept that long so that late packets of their flows can be attributed to them.
-  targets_.tick(settings_.flow_lifetime, now);
+  targets_.tick(settings_.flow_lifetime, confirmed_at_, now);
   bool lost = !restarted_targets_.empty() || !dead_targets_.empty();
   targets_.for_each(
     [&](const target_state& target) { lost = lost || (target.open_flows > 0 && is_gone(target, now)); });
--- a/libraries/coordination/steering/target_directory.cpp
+++ b/libraries/coordination/steering/target_directory.cpp
@@ -170,11 +170,11 @@
 }
 
 void
-target_directory::tick(milliseconds retention, instant now)
+target_directory::tick(milliseconds retention, std::optional<instant> confirmed_at, instant now)
 {
   for (auto position = targets_.begin(); position != targets_.end();) {
     target_state& target = position->second;
-    if (target.phase == target_phase::lapsed && now >= target.lapse_ends) {
+    if (target.phase == target_phase::lapsed && confirmed_at && *confirmed_at >= target.lapse_ends) {
       target.phase = target_phase::gone;
       target.phase_since = now;
     }
