Renew the grace period of lapsed records when the store fails again

Callers could see resets on served flows when the store came back, failed again at once and came back later: a target that lapsed in the first outage had no time to publish its record, but its grace period ended with the first one.

The end of the newest grace period now comes with each confirmation of the records and holds for all lapsed targets.

--- a/include/coltsfootlock/coordination/steering/steering_engine.h
+++ b/include/coltsfootlock/coordination/steering/steering_engine.h
@@ -51,8 +51,8 @@
   void on_snapshot_begin();
   void on_snapshot_complete(std::uint64_t revision, instant outage_grace_end, instant now);
 
-  /// Sets the time at which the records were last known to be complete.
-  void on_confirmed(instant at) { confirmed_at_ = at; }
+  /// Sets the time at which the records were last known to be complete. `outage_grace_end`: as in `on_record`.
+  void on_confirmed(instant at, instant outage_grace_end = {});
 
   /// The process was paused until now. Packets up to `on_backlog_end` were queued during the pause.
   void on_pause(instant now);
@@ -145,6 +145,7 @@
   bool complete_ = false;
   bool backlog_ = false; ///< Packets that were queued during a pause are being handled.
   std::optional<instant> confirmed_at_;
+  instant outage_grace_end_;
   instant check_answered_at_;             ///< Last time that a target of the own domain answered a check.
   std::uint64_t last_answered_check_ = 0; ///< Highest number of a check that a target of the own domain answered.
   std::vector<dead_target> dead_targets_; ///< Found since the last tick.
--- a/include/coltsfootlock/coordination/steering/target_directory.h
+++ b/include/coltsfootlock/coordination/steering/target_directory.h
@@ -43,9 +43,9 @@
   /// since, and returns their number.
   std::size_t end_snapshot(std::uint64_t revision, instant outage_grace_end, instant now);
 
-  /// Marks lapsed targets as gone when the records are confirmed as of the end of their grace period, and erases
-  /// targets that have been gone for longer than `retention`.
-  void tick(milliseconds retention, std::optional<instant> confirmed_at, instant now);
+  /// Marks lapsed targets as gone when the records are confirmed as of the end of their grace period, which a later
+  /// outage renews, and erases targets that have been gone for longer than `retention`.
+  void tick(milliseconds retention, std::optional<instant> confirmed_at, instant outage_grace_end, instant now);
 
   /// All targets with this token; more than one only if hashes collide.
   const std::vector<target_state*>& with_token(target_token token) const;
--- a/libraries/coordination/steering/steering_engine.cpp
+++ b/libraries/coordination/steering/steering_engine.cpp
@@ -150,6 +150,13 @@
            " missing=" + std::to_string(missing));
 }
 
+void
+steering_engine::on_confirmed(instant at, instant outage_grace_end)
+{
+  confirmed_at_ = at;
+  outage_grace_end_ = std::max(outage_grace_end_, outage_grace_end);
+}
+
 steering_decision
 steering_engine::forward(forward_reason reason, const target_state& target)
 {
@@ -201,7 +208,7 @@
   isolation_.tick(records_are_fresh(now), now);
   std::vector<reset_flow> resets;
   // Targets are kept that long so that late packets of their flows can be attributed to them.
-  targets_.tick(settings_.flow_lifetime, confirmed_at_, now);
+  targets_.tick(settings_.flow_lifetime, confirmed_at_, outage_grace_end_, now);
   bool lost = !restarted_targets_.empty() || !dead_targets_.empty();
   targets_.for_each(
     [&](const target_state& target) { lost = lost || (target.open_flows > 0 && is_gone(target, now)); });
--- a/libraries/coordination/steering/target_directory.cpp
+++ b/libraries/coordination/steering/target_directory.cpp
@@ -170,11 +170,15 @@
 }
 
 void
-target_directory::tick(milliseconds retention, std::optional<instant> confirmed_at, instant now)
+target_directory::tick(milliseconds retention,
+                       std::optional<instant> confirmed_at,
+                       instant outage_grace_end,
+                       instant now)
 {
   for (auto position = targets_.begin(); position != targets_.end();) {
     target_state& target = position->second;
-    if (target.phase == target_phase::lapsed && confirmed_at && *confirmed_at >= target.lapse_ends) {
+    if (target.phase == target_phase::lapsed && confirmed_at &&
+        *confirmed_at >= std::max(target.lapse_ends, outage_grace_end)) {
       target.phase = target_phase::gone;
       target.phase_since = now;
     }
--- a/libraries/coordination/steering/tests/steering_fixture.h
+++ b/libraries/coordination/steering/tests/steering_fixture.h
@@ -48,7 +48,7 @@
   void complete()
   {
     engine.on_snapshot_complete(revision, outage_grace_end, now);
-    engine.on_confirmed(now);
+    engine.on_confirmed(now, outage_grace_end);
   }
 
   void publish_catalogue(std::uint64_t version, std::vector<service> services)
@@ -75,13 +75,13 @@
   void publish(const target_record& target)
   {
     engine.on_record({ ++revision, target_published{ target } }, outage_grace_end, now);
-    engine.on_confirmed(now);
+    engine.on_confirmed(now, outage_grace_end);
   }
 
   void remove(std::uint64_t tag)
   {
     engine.on_record({ ++revision, target_removed{ "t-" + std::to_string(tag) } }, outage_grace_end, now);
-    engine.on_confirmed(now);
+    engine.on_confirmed(now, outage_grace_end);
   }
 
   /// Advances the time in ticks and returns the resets.
--- a/libraries/coordination/steering/tests/test_steering_engine.cpp
+++ b/libraries/coordination/steering/tests/test_steering_engine.cpp
@@ -327,6 +327,27 @@
   BOOST_TEST(!pass(milliseconds(200)).empty());
 }
 
+// Load pattern: the store comes back, fails again at once and comes back later. Targets cannot publish their records in
+// between, so the grace period of those that lapsed starts again.
+BOOST_AUTO_TEST_CASE(a_second_outage_renews_the_grace_period_of_records_that_lapsed_after_the_first)
+{
+  publish(make_target(1, "a"));
+  establish(flow_of(1));
+  publish(make_target(2, "a"));
+  pass(milliseconds(6000));
+  outage_grace_end = now + milliseconds(2500);
+  remove(1);
+  remove(2);
+  BOOST_TEST(pass(milliseconds(2400)).empty());
+  outage_grace_end = now + milliseconds(2500);
+  publish(make_target(2, "a"));
+  BOOST_TEST(pass(milliseconds(1000)).empty());
+  engine.on_confirmed(now, outage_grace_end);
+  BOOST_TEST(pass(milliseconds(1000)).empty());
+  publish(make_target(1, "a"));
+  BOOST_TEST(pass(milliseconds(4000)).empty());
+}
+
 // A paused daemon misses the targets' answers, so their silence is no evidence.
 BOOST_AUTO_TEST_CASE(silence_during_a_pause_is_no_evidence)
 {
--- a/programs/coltsfootlockd/carried/record_path.cpp
+++ b/programs/coltsfootlockd/carried/record_path.cpp
@@ -218,7 +218,7 @@
   }
   if (follower_.confirmed_at()) {
     cache_.advance(follower_.revision());
-    engine_.on_confirmed(*follower_.confirmed_at());
+    engine_.on_confirmed(*follower_.confirmed_at(), follower_.outage_grace_end());
   }
 }
 
