Send a late copy of a first packet to the target of the open flow

Callers' copies of a first packet that a busy daemon handles after the flow is open were placed anew, so that another target accepted a second flow under the same addresses. The entry of the open flow was overwritten without being released: its target kept a waiting caller and an open flow in its counts for good, and was checked without need. Found by review; no run has shown it.

A copy of an open flow's first packet goes to the flow's target. A first packet that is no copy is a new flow, and the previous entry is released.

Failed before: a_late_copy_of_a_first_packet_leaves_no_waiting_caller_behind, a_late_copy_of_a_first_packet_goes_to_the_target_of_the_open_flow.

--- a/libraries/coordination/steering/flow_opening_decisions.cpp
+++ b/libraries/coordination/steering/flow_opening_decisions.cpp
@@ -13,9 +13,18 @@
   if (backlog_) {
     return drop(drop_reason::late_open);
   }
-  if (carried_flow* flow = flows_.find(packet.flow); flow != nullptr && !flow->answered) {
+  carried_flow* flow = flows_.find(packet.flow);
+  if (flow == nullptr) {
+    return place(packet, {}, now);
+  }
+  if (!flow->answered) {
     return on_repeated_opening(packet, *flow, now);
   }
+  if (target_state* target = targets_.find(flow->target); target != nullptr && packet.acknowledged > 0) {
+    return forward(forward_reason::repeated, *target); // A late copy: the flow is open at this target.
+  }
+  release_flow(*flow);
+  flows_.erase(packet.flow);
   return place(packet, {}, now);
 }
 
--- a/libraries/coordination/steering/tests/test_steering_engine.cpp
+++ b/libraries/coordination/steering/tests/test_steering_engine.cpp
@@ -538,4 +538,17 @@
   BOOST_TEST(tag_of(send(flow, token_of_tag(1), 2)) == 1U);
 }
 
+// A copy of a first packet arrives at a busy daemon after the flow is open. Another target would accept it as a new
+// flow.
+BOOST_AUTO_TEST_CASE(a_late_copy_of_a_first_packet_goes_to_the_target_of_the_open_flow)
+{
+  for (std::uint64_t tag = 1; tag <= 4; ++tag) {
+    publish(make_target(tag, "a"));
+  }
+  for (std::uint16_t port = 1; port <= 8; ++port) {
+    const std::uint64_t tag = establish(flow_of(port));
+    BOOST_TEST(tag_of(open(flow_of(port), 1)) == tag);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libraries/coordination/steering/tests/test_target_checks.cpp
+++ b/libraries/coordination/steering/tests/test_target_checks.cpp
@@ -412,4 +412,19 @@
   }
 }
 
+// A daemon with a small share of a core handles a copy of a first packet after the flow is open.
+BOOST_AUTO_TEST_CASE(a_late_copy_of_a_first_packet_leaves_no_waiting_caller_behind)
+{
+  send(flows_of_one[0], token_of_tag(1), 2);
+  for (std::uint16_t port = 1000; port < 1010; ++port) {
+    const flow_key flow = flow_of(port, port);
+    const std::uint64_t tag = establish(flow);
+    send(flow, token_of_tag(tag), 1, 101, 200);
+    open(flow, 1);
+    send(flow, token_of_tag(tag), 2, 301);
+  }
+  pass(milliseconds(500));
+  BOOST_TEST(engine.start_due_checks(now).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
