Leave room for the reference check when many targets are silent

Callers of a rack of 64 or more silent targets waited until their records expired: the reference check is the last of its round, and from 64 running checks on it could not be made, so that no silence was conclusive.

The engine itself limits the checks that run, keeps one place for the reference target, and begins with the targets that were not checked for the longest time.

Failed before: many_silent_targets_are_found_dead.

--- a/include/coltsfootlock/coordination/steering/steering_timing.h
+++ b/include/coltsfootlock/coordination/steering/steering_timing.h
@@ -2,6 +2,8 @@
 
 #include "coltsfootlock/state/time.h"
 
+#include <cstddef>
+
 namespace coltsfootlock::steering_timing {
 
 /// A copy of a first packet that is handled less than this after its predecessor was queued in this daemon's socket and
@@ -52,6 +54,9 @@
 /// Interval between checks of a target that answers them.
 inline constexpr milliseconds check_interval{ 1000 };
 
+/// Checks that run at the same time; each uses a descriptor.
+inline constexpr std::size_t max_running_checks = 64;
+
 /// Silent checks that are further apart than this are not consecutive.
 inline constexpr milliseconds max_silent_check_gap{ 3000 };
 
--- a/libraries/coordination/steering/target_loss_decisions.cpp
+++ b/libraries/coordination/steering/target_loss_decisions.cpp
@@ -53,31 +53,40 @@
 std::vector<reachability_check>
 steering_engine::start_due_checks(instant now)
 {
-  std::vector<reachability_check> checks;
+  std::vector<target_state*> due;
+  std::size_t running = 0;
   bool silence = false;
   target_state* reference_target = nullptr;
-  const auto start = [this, &checks, now](target_state& target) {
-    target.check_running = true;
-    target.check_started = now;
-    target.check_number = ++counters_.checks;
-    checks.push_back({ target.record.vm.id, target.record.vm.load_address });
-  };
   targets_.for_each([&](target_state& target) {
+    running += target.check_running ? 1 : 0;
     if (target.check_running || now < target.next_check || target.phase != target_phase::present) {
       return;
     }
-    const bool due = target.awaiting_flows > 0 &&
-                     now - std::max(target.awaiting_since, observing_since_) > steering_timing::check_delay;
-    if (due) {
+    if (target.awaiting_flows > 0 &&
+        now - std::max(target.awaiting_since, observing_since_) > steering_timing::check_delay) {
       silence = silence || target.checked_in_vain;
-      start(target);
+      due.push_back(&target);
     } else if (target.record.vm.domain == settings_.domain && target.suspected_until <= now &&
                (reference_target == nullptr || target.last_progress > reference_target->last_progress)) {
       reference_target = &target;
     }
   });
-  if (silence && reference_target != nullptr) {
-    start(*reference_target);
+  // Leaves room for the reference target. Targets that were not checked for the longest time come first.
+  const std::size_t room =
+    steering_timing::max_running_checks - std::min(running + 1, steering_timing::max_running_checks);
+  std::sort(due.begin(), due.end(), [](const target_state* left, const target_state* right) {
+    return left->check_number < right->check_number;
+  });
+  due.resize(std::min(due.size(), room));
+  if (silence && reference_target != nullptr && !due.empty()) {
+    due.push_back(reference_target);
+  }
+  std::vector<reachability_check> checks;
+  for (target_state* target : due) {
+    target->check_running = true;
+    target->check_started = now;
+    target->check_number = ++counters_.checks;
+    checks.push_back({ target->record.vm.id, target->record.vm.load_address });
   }
   return checks;
 }
--- a/libraries/coordination/steering/tests/test_target_checks.cpp
+++ b/libraries/coordination/steering/tests/test_target_checks.cpp
@@ -427,4 +427,27 @@
   BOOST_TEST(engine.start_due_checks(now).empty());
 }
 
+// Load pattern: a rack of 90 targets falls silent while callers wait for all of them. Their checks must leave room for
+// the reference target.
+BOOST_AUTO_TEST_CASE(many_silent_targets_are_found_dead)
+{
+  std::set<std::string> silent{ "t-1" };
+  for (std::uint64_t tag = 100; tag < 190; ++tag) {
+    publish(make_target(tag, "a"));
+    const flow_key flow = flow_of(static_cast<std::uint16_t>(tag), static_cast<std::uint32_t>(tag));
+    send(flow, token_of_tag(tag), 1);
+    send(flow, token_of_tag(tag), 1, 101, 200);
+    silent.insert("t-" + std::to_string(tag));
+  }
+  pass_with_progress(milliseconds(6400));
+  std::set<std::string> found;
+  for (int round = 0; round < 3 * rounds_to_judgement; ++round) {
+    BOOST_TEST(check(silent).size() <= steering_timing::max_running_checks);
+    for (const reset_flow& reset : pass_with_progress(milliseconds(300))) {
+      found.insert(reset.target);
+    }
+  }
+  BOOST_TEST(found.size() == silent.size());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/programs/coltsfootlockd/carried/target_checks.cpp
+++ b/programs/coltsfootlockd/carried/target_checks.cpp
@@ -33,7 +33,8 @@
 {
   for (const reachability_check& check : checks) {
     running_.push_back({ check.target,
-                         running_.size() < max_checks ? connection_attempt(check.address) : connection_attempt(),
+                         running_.size() < steering_timing::max_running_checks ? connection_attempt(check.address)
+                                                                               : connection_attempt(),
                          now + steering_timing::check_timeout });
   }
 }
--- a/programs/coltsfootlockd/carried/target_checks.h
+++ b/programs/coltsfootlockd/carried/target_checks.h
@@ -31,9 +31,6 @@
   std::vector<check_result> advance(std::span<const pollfd> polled, instant now);
 
 private:
-  /// Maximum number of concurrent checks; each uses a descriptor.
-  static constexpr std::size_t max_checks = 64;
-
   struct running_check
   {
     vm_id target;
