Count late responses as of their latest sending

A daemon took records as confirmed when the response arrived, although it may have been on its way for the whole slack of the call. Outdated records then counted as current for resets, and a gap in which an outage was missed looked shorter.

Records are confirmed at most as of the time at which the response should have been sent. A gap still lasts until the response arrives.

Failed before: a_late_response_confirms_the_records_only_as_of_its_latest_sending, a_late_response_does_not_hide_an_outage_after_it.

--- a/include/coltsfootlock/coordination/steering/record_follower.h
+++ b/include/coltsfootlock/coordination/steering/record_follower.h
@@ -44,8 +44,8 @@
   milliseconds outage_grace{ 2500 };
 
   /// If the records were not confirmed for longer than this, the daemon may have missed such an outage or a partition.
-  /// Above the usual interval between confirmations, which is `watch_wait`; and about the time in which a partition
-  /// makes a record expire, three heartbeats less the one that may have passed before it.
+  /// Above the usual interval between confirmations, which is `watch_wait`, and not below two heartbeats of the
+  /// targets, before which no record expires.
   milliseconds max_record_gap{ 1700 };
 
   auto operator<=>(const follower_settings&) const = default;
@@ -89,7 +89,8 @@
   /// The last call, to another daemon, had no usable response. The next call can follow at once.
   void on_peer_failure();
 
-  /// When the records were last complete and current; empty until the first list is complete.
+  /// When the records were last complete and current; empty until the first list is complete. The time that a response
+  /// takes beyond the wait of its call does not count, since it was on its way.
   std::optional<instant> confirmed_at() const { return confirmed_at_; }
 
   /// True while some pages of a list have been received and more follow. A change of the source restarts the list.
@@ -114,7 +115,7 @@
   void on_call_success(progress& result, const response_age& age, instant now);
   bool missed_an_outage(const response_age& age, instant now) const;
   void consume_call_budget(instant now);
-  void confirm(instant at);
+  void confirm(const response_age& age, instant now);
 
   follower_settings settings_;
   std::minstd_rand random_;
@@ -130,6 +131,7 @@
   instant next_wakeup_;
   instant outage_grace_end_;
   std::optional<instant> confirmed_at_;
+  instant latest_sending_; ///< When the response to the current call should have been sent at the latest.
 };
 
 }
--- a/libraries/coordination/steering/record_follower.cpp
+++ b/libraries/coordination/steering/record_follower.cpp
@@ -43,6 +43,7 @@
   if (!from_peer) {
     consume_call_budget(now);
   }
+  latest_sending_ = now + (listing_ ? milliseconds(0) : from_peer ? settings_.peer_wait : settings_.watch_wait);
   if (listing_) {
     return planned_call{ list_call{ list_after_ }, settings_.list_timeout };
   }
@@ -110,7 +111,7 @@
   result.snapshot_complete = list_revision_;
   listing_ = false;
   list_after_.clear();
-  confirm(now - page.age.records);
+  confirm(page.age, now);
   next_wakeup_ = now;
   return result;
 }
@@ -122,13 +123,14 @@
   on_call_success(result, events.age, now);
   result.changes = std::move(events.changes);
   revision_ = std::max(revision_, events.store_revision);
-  confirm(now - events.age.records);
+  confirm(events.age, now);
   return result;
 }
 
 void
-record_follower::confirm(instant at)
+record_follower::confirm(const response_age& age, instant now)
 {
+  const instant at = std::min(now, latest_sending_) - age.records;
   confirmed_at_ = confirmed_at_ ? std::max(*confirmed_at_, at) : at;
 }
 
--- a/libraries/coordination/steering/tests/test_record_follower.cpp
+++ b/libraries/coordination/steering/tests/test_record_follower.cpp
@@ -167,4 +167,32 @@
   BOOST_TEST(calls <= 20 * settings.calls_per_second + settings.call_burst);
 }
 
+// A response that arrives later than its sender may hold it was on its way meanwhile: the records are known to be
+// complete only as of the end of the wait.
+BOOST_AUTO_TEST_CASE(a_late_response_confirms_the_records_only_as_of_its_latest_sending)
+{
+  list(50);
+  const instant called = now;
+  call();
+  now += milliseconds(2300);
+  follower.on_response(record_events{ {}, 50, {} }, now);
+  BOOST_TEST((follower.confirmed_at().value() <= called + settings.watch_wait));
+}
+
+// The store is cut off right after it sent a response that arrives late, by less than a gap that counts as an outage.
+// The time without records counts from the sending, at the latest at the end of the wait.
+BOOST_AUTO_TEST_CASE(a_late_response_does_not_hide_an_outage_after_it)
+{
+  list(50);
+  const instant sent = now + settings.watch_wait;
+  call();
+  now += milliseconds(1650);
+  follower.on_response(record_events{ {}, 50, {} }, now);
+  call();
+  now += milliseconds(1650);
+  follower.on_response(record_events{ {}, 60, {} }, now);
+  BOOST_TEST_REQUIRE((now - sent > settings.max_record_gap));
+  BOOST_TEST((follower.outage_grace_end() > now));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
