Look at the newest reachability checks first

On a VM with a small share of a core the process may wait between looking at two checks of one round. Looking at the silent one first and at the reference after the wait made an answered check look silent next to an answered reference, which is the evidence for a dead target.

Checks are looked at from the newest to the oldest. The order of results is unchanged: answers first, which now has a test.

The wait itself has no test, since it needs the scheduler.

--- a/programs/coltsfootlockd/carried/target_checks.cpp
+++ b/programs/coltsfootlockd/carried/target_checks.cpp
@@ -47,26 +47,31 @@
   }
 }
 
+/// Looks at the newest checks first: if one of them has been answered when it is looked at, so have the older ones,
+/// however long the process waits for its share of a core in between.
 std::vector<check_result>
 target_checks::advance(std::span<const pollfd> polled, instant now)
 {
   std::vector<check_result> results;
-  std::size_t position = 0;
-  std::erase_if(running_, [&](const running_check& check) {
+  std::vector<running_check> remaining;
+  for (std::size_t position = running_.size(); position-- > 0;) {
+    running_check& check = running_[position];
     const bool ready = position < polled.size() && polled[position].revents != 0;
-    ++position;
     const bool late = now >= check.deadline;
     if (!ready && !late && check.attempt.is_open()) {
-      return false;
+      remaining.push_back(std::move(check));
+      continue;
     }
     // poll() may have returned long before the deadline if the VM then waited for its share of a core.
     const auto state = check.attempt.state();
     if (state == connection_attempt::progress::waiting && !late) {
-      return false;
+      remaining.push_back(std::move(check));
+    } else {
+      results.push_back({ check.target, outcome_of(state) });
     }
-    results.push_back({ check.target, outcome_of(state) });
-    return true;
-  });
+  }
+  std::reverse(remaining.begin(), remaining.end());
+  running_ = std::move(remaining);
   // Answers show that this VM's link works, so they are handled before the silence of others.
   std::stable_partition(
     results.begin(), results.end(), [](const check_result& result) { return result.outcome != check_outcome::silent; });
--- a/programs/coltsfootlockd/tests/test_target_checks.cpp
+++ b/programs/coltsfootlockd/tests/test_target_checks.cpp
@@ -31,6 +31,19 @@
 
 using results = std::vector<check_result>;
 
+/// Opens connections until the listen queue is full, so that the next attempt is not answered.
+std::vector<connection_attempt>
+fill_listen_queue(const page_server& server)
+{
+  std::vector<connection_attempt> queued;
+  while (queued.size() < 1000 && (queued.empty() || queued.back().state() != connection_attempt::progress::waiting)) {
+    queued.emplace_back(server.local());
+    pollfd writable{ queued.back().descriptor(), POLLOUT, 0 };
+    ::poll(&writable, 1, 100);
+  }
+  return queued;
+}
+
 }
 
 BOOST_FIXTURE_TEST_SUITE(running_target_checks, checks_fixture)
@@ -55,15 +68,21 @@
   BOOST_TEST((checks.advance(before_the_answer, after_deadline) == results{ { "t-1", check_outcome::accepted } }));
 }
 
+// The answer to a later check makes the silence of an earlier one conclusive, so it has to be known first.
+BOOST_AUTO_TEST_CASE(answers_are_handled_before_the_silence_of_earlier_checks)
+{
+  page_server full = std::move(*page_server::listen(any_port, why));
+  const std::vector<connection_attempt> queued = fill_listen_queue(full);
+  checks.start({ { "t-1", full.local() }, { "t-2", server.local() } }, start);
+  std::vector<pollfd> before_the_answer;
+  checks.add_descriptors(before_the_answer);
+  BOOST_TEST((checks.advance(before_the_answer, after_deadline) ==
+              results{ { "t-2", check_outcome::accepted }, { "t-1", check_outcome::silent } }));
+}
+
 BOOST_AUTO_TEST_CASE(a_target_without_an_answer_is_silent_after_the_deadline)
 {
-  // The listen queue is full, so the next connection attempt is not answered.
-  std::vector<connection_attempt> queued;
-  while (queued.size() < 1000 && (queued.empty() || queued.back().state() != connection_attempt::progress::waiting)) {
-    queued.emplace_back(server.local());
-    pollfd writable{ queued.back().descriptor(), POLLOUT, 0 };
-    ::poll(&writable, 1, 100);
-  }
+  const std::vector<connection_attempt> queued = fill_listen_queue(server);
   checks.start({ { "t-1", server.local() } }, start);
   BOOST_TEST(advance(start, 100).empty());
   BOOST_TEST((advance(after_deadline, 0) == results{ { "t-1", check_outcome::silent } }));
