--- a/include/coltsfootlock/coordination/steering/source_choice.h
+++ b/include/coltsfootlock/coordination/steering/source_choice.h
@@ -35,10 +35,10 @@
 /// Chooses the source of the platform's records: the store, or another daemon of the domain.
 ///
 /// Load pattern: many daemons watch a store whose calls are expensive and rate-limited. The daemon of each domain with
-/// the highest rank, which is the one with the fastest link and among equals a hash, reads the store, and the others
-/// follow it. This needs no agreement: every response carries the
-/// age of its records, so a daemon that follows the wrong one detects outdated records. A daemon that responds late,
-/// not at all, or with old records is excluded for a while; if no other daemon is left, the store is read directly.
+/// the highest rank (the fastest link, then a hash) reads the store, and the others follow it. This needs no agreement:
+/// every response carries the age of its records, so a daemon that follows the wrong one detects outdated records. A
+/// daemon that responds late, not at all, or with old records is excluded for a while; if no other daemon is left, the
+/// store is read directly.
 ///
 /// Load pattern: all daemons of a large domain start at once and fetch all records from one daemon with a slow link.
 /// Beyond `max_followers` daemons, the next ones by rank are relays: they follow the reader, and the others are spread
--- a/libraries/coordination/steering/tests/test_target_checks.cpp
+++ b/libraries/coordination/steering/tests/test_target_checks.cpp
@@ -11,6 +11,10 @@
 
 namespace {
 
+/// Rounds of checks until a silent target is found dead: one that leads to the check of a reference target, and three
+/// conclusive ones.
+constexpr int rounds_to_judgement = 4;
+
 /// Two targets with two established flows each; the callers of flows 1 and 2 wait for answers of target 1.
 struct check_fixture : steering_fixture
 {
@@ -65,13 +69,28 @@
     return result;
   }
 
+  /// Target 1 is found dead, and the resets of its flows are sent.
+  void find_dead_target()
+  {
+    pass_with_progress(milliseconds(6400));
+    for (int round = 0; round < rounds_to_judgement; ++round) {
+      check({ "t-1" });
+      pass_with_progress(milliseconds(300));
+    }
+  }
+
+  /// A flow to target 1 that opened through another daemon; its caller sends a request.
+  flow_key wait_on_dead_target()
+  {
+    const flow_key flow = flow_of(60, 60);
+    send(flow, token_of_tag(1), 1);
+    send(flow, token_of_tag(1), 1, 101, 200);
+    return flow;
+  }
+
   std::uint32_t position = 1;
 };
 
-/// Rounds of checks until a silent target is found dead: one that leads to the check of a reference target, and three
-/// conclusive ones.
-constexpr int rounds_to_judgement = 4;
-
 std::set<std::string>
 targets_of(const std::vector<reachability_check>& checks)
 {
@@ -288,14 +307,8 @@
 // daemons, when a target elsewhere is lost.
 BOOST_AUTO_TEST_CASE(flows_opened_after_their_target_was_found_dead_are_kept_when_another_target_is_lost)
 {
-  pass_with_progress(milliseconds(6400));
-  for (int round = 0; round < rounds_to_judgement; ++round) {
-    check({ "t-1" });
-    pass_with_progress(milliseconds(300));
-  }
-  const flow_key later = flow_of(60, 60);
-  send(later, token_of_tag(1), 1);
-  send(later, token_of_tag(1), 1, 101, 200);
+  find_dead_target();
+  wait_on_dead_target();
   pass_with_progress(milliseconds(5000));
   remove(2);
   for (const reset_flow& reset : pass(milliseconds(3000))) {
@@ -306,14 +319,8 @@
 // A dead target keeps its record for a while, and idle callers send their next requests to it.
 BOOST_AUTO_TEST_CASE(callers_that_send_to_a_target_found_dead_before_are_reset_by_new_evidence)
 {
-  pass_with_progress(milliseconds(6400));
-  for (int round = 0; round < rounds_to_judgement; ++round) {
-    check({ "t-1" });
-    pass_with_progress(milliseconds(300));
-  }
-  const flow_key later = flow_of(60, 60);
-  send(later, token_of_tag(1), 1);
-  send(later, token_of_tag(1), 1, 101, 200);
+  find_dead_target();
+  const flow_key later = wait_on_dead_target();
   std::vector<reset_flow> resets;
   for (int round = 0; round < 5; ++round) {
     const auto more = pass_with_progress(milliseconds(300));
@@ -328,14 +335,8 @@
 // evidence.
 BOOST_AUTO_TEST_CASE(a_congested_link_does_not_renew_the_judgement_about_a_dead_target)
 {
-  pass_with_progress(milliseconds(6400));
-  for (int round = 0; round < rounds_to_judgement; ++round) {
-    check({ "t-1" });
-    pass_with_progress(milliseconds(300));
-  }
-  const flow_key later = flow_of(60, 60);
-  send(later, token_of_tag(1), 1);
-  send(later, token_of_tag(1), 1, 101, 200);
+  find_dead_target();
+  wait_on_dead_target();
   pass_with_progress(milliseconds(1000));
   BOOST_TEST(check({ "t-1", "t-2" }).contains("t-1"));
   BOOST_TEST(pass(milliseconds(50)).empty());
@@ -344,14 +345,8 @@
 // The same with a check that runs while the process is paused.
 BOOST_AUTO_TEST_CASE(a_check_during_a_pause_does_not_renew_the_judgement_about_a_dead_target)
 {
-  pass_with_progress(milliseconds(6400));
-  for (int round = 0; round < rounds_to_judgement; ++round) {
-    check({ "t-1" });
-    pass_with_progress(milliseconds(300));
-  }
-  const flow_key later = flow_of(60, 60);
-  send(later, token_of_tag(1), 1);
-  send(later, token_of_tag(1), 1, 101, 200);
+  find_dead_target();
+  wait_on_dead_target();
   pass_with_progress(milliseconds(1000));
   BOOST_TEST(targets_of(engine.start_due_checks(now)).contains("t-1"));
   now += milliseconds(1000);
