Start from other daemons' records, and recognise outages of the store

A list of another daemon that is older than the known records is not applied: a record that was removed since would have come back in the lists for daemons that start.

Tests of the follower list once more before they watch, since the first list is not current any more.

--- a/include/coltsfootlock/coordination/steering/record_follower.h
+++ b/include/coltsfootlock/coordination/steering/record_follower.h
@@ -56,6 +56,15 @@
 ///
 /// Load patterns: a store that is down or slow, refuses this daemon, loses responses, or discards its history; many
 /// changes in a row while many daemons watch.
+///
+/// Load pattern: a reader falls silent, and another daemon takes over with old records that many others wait for. A
+/// watch of old records does not wait for the next change.
+///
+/// Load pattern: hundreds of daemons start together and list thousands of records, page by page, from a store whose
+/// calls are expensive. The first list of a process may consist of old pages, each of another age. The watch that
+/// follows starts at the oldest of them and does not wait, so that the records are current one round trip later. A
+/// daemon that knows newer records than such a page lists current ones: an old page may contain records that have been
+/// removed since.
 class record_follower
 {
 public:
@@ -69,8 +78,8 @@
   };
 
   /// The call to make now; empty while a call is in progress or before `next_wakeup`. `from_peer`: the call goes to
-  /// another daemon instead of the store.
-  std::optional<planned_call> next_call(bool from_peer, instant now);
+  /// another daemon instead of the store. `patient`: that daemon's records are old, and a watch waits for their renewal.
+  std::optional<planned_call> next_call(bool from_peer, bool patient, instant now);
 
   instant next_wakeup() const { return next_wakeup_; }
 
@@ -93,6 +102,10 @@
   /// takes beyond the wait of its call does not count, since it was on its way.
   std::optional<instant> confirmed_at() const { return confirmed_at_; }
 
+  /// True if the response to the last call is a list that is older than the known records. Removals that are known could
+  /// not be told from records that are missing in it.
+  bool goes_back(const record_response& response) const;
+
   /// True while some pages of a list have been received and more follow. A change of the source restarts the list.
   bool listing_in_progress() const { return !list_after_.empty() && failures_ == 0; }
 
@@ -116,14 +129,16 @@
   bool missed_an_outage(const response_age& age, instant now) const;
   void consume_call_budget(instant now);
   void confirm(const response_age& age, instant now);
+  milliseconds watch_wait(bool patient, instant now) const;
 
   follower_settings settings_;
   std::minstd_rand random_;
   bool calling_ = false;
   bool from_peer_ = false;
   bool listing_ = true;
+  bool list_is_old_ = false; ///< The pages of the current or last list may be old.
   std::string list_after_;
-  std::uint64_t list_revision_ = 0;
+  std::uint64_t list_revision_ = 0; ///< Of the oldest page of the list.
   std::uint64_t revision_ = 0;
   unsigned failures_ = 0;
   double calls_left_;
--- a/include/coltsfootlock/coordination/steering/source_choice.h
+++ b/include/coltsfootlock/coordination/steering/source_choice.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace coltsfootlock {
@@ -32,6 +33,40 @@
   auto operator<=>(const member_list&) const = default;
 };
 
+/// Read the platform's store.
+struct read_store
+{
+  auto operator<=>(const read_store&) const = default;
+};
+
+/// Follow another daemon. `patient`: it is to respond when its records are renewed, even if they are old.
+struct follow_member
+{
+  fleet_member member;
+  bool patient = false;
+
+  auto operator<=>(const follow_member&) const = default;
+};
+
+/// Make no call before `until`, or before the members change.
+struct await_members
+{
+  instant until;
+
+  auto operator<=>(const await_members&) const = default;
+};
+
+using record_source = std::variant<read_store, follow_member, await_members>;
+
+/// What a daemon knows of the store from its own calls.
+struct store_condition
+{
+  bool failing = false; ///< The last calls failed, and another daemon may be followed instead.
+  bool callable = true; ///< The store may be called now, after the delays for its failures and rate.
+
+  auto operator<=>(const store_condition&) const = default;
+};
+
 /// Chooses the source of the platform's records: the store, or another daemon of the domain.
 ///
 /// Load pattern: many daemons watch a store whose calls are expensive and rate-limited. The daemon of each domain with
@@ -43,6 +78,14 @@
 /// Load pattern: all daemons of a large domain start at once and fetch all records from one daemon with a slow link.
 /// Beyond `max_followers` daemons, the next ones by rank are relays: they follow the reader, and the others are spread
 /// over them. Every daemon follows one of higher rank, so there are no cycles.
+///
+/// Load pattern: all daemons start at once, or many join. Each asks a seed for members before its first call, and reads
+/// the store only if it has the highest rank of those that are known, or if no seed answers.
+///
+/// Load pattern: the store is away for all. Records age everywhere at the same time, and no source is better than
+/// another. After `min_old_sources` sources in a row with old records, a daemon assumes such an outage: the members with
+/// the highest ranks go on reading the store, and the others stay with one of them. They still read the store in turn,
+/// `outage_probe_interval` apart, since they may all have been cut off or refused alone.
 class source_choice
 {
 public:
@@ -82,6 +125,30 @@
   /// The response to a daemon of `domain` that registered; `on_member` is called for it before.
   member_list member_list_for(const std::string& domain, instant now) const;
 
+  /// A first call waits this long for a seed's response.
+  static constexpr milliseconds max_member_wait{ 400 };
+
+  /// Delay before the next seed is asked if none has answered yet.
+  static constexpr milliseconds seed_retry_delay{ 50 };
+
+  /// Sources in a row with old records after which an outage of the store is assumed. With two, a reader that is cut
+  /// off alone and its successor, which has not noticed yet, would do.
+  static constexpr unsigned min_old_sources = 3;
+
+  /// Members of each domain that read the store during an outage, by rank.
+  static constexpr std::size_t outage_readers = 2;
+
+  /// Mean time between the reads of a domain's other daemons during an outage, and the longest time between the reads
+  /// of one.
+  static constexpr milliseconds outage_probe_interval{ 50 };
+  static constexpr milliseconds max_outage_probe_delay{ 3000 };
+
+  /// The source of the next call.
+  record_source choose(const store_condition& store, instant now);
+
+  /// The daemon can reach seeds, so that its first call waits for members.
+  void expect_members(instant now);
+
   /// Handles a seed's response.
   void on_member_list(const member_list& response, instant now);
 
@@ -98,13 +165,28 @@
   /// of another one.
   std::optional<fleet_member> fallback(instant now) const;
 
+  /// The member's records are current.
   void on_success(const std::string& id);
+
+  /// The member did not respond.
   void on_failure(const std::string& id, instant now);
 
+  /// The member's records are too old.
+  void on_old_records(const std::string& id, instant now);
+
+  /// The store responded to a call.
+  void on_store_success();
+
+  /// True while an outage of the store for all daemons is assumed.
+  bool in_outage() const { return next_probe_.has_value(); }
+
   /// True if the next registration with a seed is due.
   bool discovery_due(instant now) const { return now >= next_discovery_; }
   void on_discovery_started(instant now);
 
+  /// The seed did not answer.
+  void on_discovery_failed(instant now);
+
 private:
   struct source_rank
   {
@@ -127,6 +209,8 @@
   const member_state* best_member(bool own_domain, instant now) const;
   std::vector<const member_state*> by_rank(instant now) const;
   const member_state* relay(const member_state& reader, instant now) const;
+  record_source choose_during_outage(const store_condition& store, instant now);
+  duration probe_delay(double share, instant now) const;
 
   const std::string self_;
   const std::string domain_;
@@ -134,6 +218,9 @@
   std::map<std::string, member_state> members_;
   std::size_t reported_daemons_ = 1;
   instant next_discovery_;
+  std::optional<instant> members_awaited_until_; ///< Until then, or the first member list, no call is made.
+  unsigned old_sources_ = 0;                     ///< Sources in a row with old records.
+  std::optional<instant> next_probe_;            ///< Of the store, during an outage.
 };
 
 }
--- a/include/coltsfootlock/coordination/steering/watch_response.h
+++ b/include/coltsfootlock/coordination/steering/watch_response.h
@@ -13,6 +13,7 @@
   std::uint64_t revision = 0; ///< The follower has all changes up to this revision.
   instant requested_at;
   milliseconds max_wait{ 0 };
+  bool patient = false; ///< The follower has no better source and waits for a renewal of old records.
 
   auto operator<=>(const pending_watch&) const = default;
 };
@@ -23,6 +24,7 @@
   std::uint64_t revision = 0;
   milliseconds age{ 0 };
   instant renewed_at; ///< When this daemon last received a confirmation that its records are current.
+  bool renewing = false; ///< This daemon has just asked another source for newer records.
 
   auto operator<=>(const record_status&) const = default;
 };
@@ -30,7 +32,17 @@
 /// True if the watch is to be answered now: there are changes, its maximum wait has passed, the records are older than
 /// `max_age`, so that the follower has to choose another source, or they were confirmed after the request. The last
 /// condition keeps the age of the records from growing with each relay between the store and the follower.
+///
+/// Load pattern: the reader of a domain falls silent, and the records of all its followers reach `max_age` together. If
+/// the next reader reported its old records while it makes its first call to the store, all others would read the store
+/// as well.
 bool
 response_is_due(const pending_watch& follower, const record_status& records, milliseconds max_age, instant now);
 
+/// How long a call to a new source may take while watches of old records wait for its response.
+inline constexpr milliseconds max_renewal_time{ 200 };
+
+/// How long a request for the full list waits while this daemon is receiving its own first one.
+inline constexpr milliseconds max_list_wait{ 1000 };
+
 }
--- a/include/coltsfootlock/state/record_call.h
+++ b/include/coltsfootlock/state/record_call.h
@@ -15,6 +15,8 @@
 struct list_call
 {
   std::string after; ///< Empty for the first page.
+  /// True if the page may be some seconds old, which the store answers at a lower price.
+  bool may_be_old = false;
 
   auto operator<=>(const list_call&) const = default;
 };
--- a/libraries/coordination/steering/record_follower.cpp
+++ b/libraries/coordination/steering/record_follower.cpp
@@ -30,7 +30,7 @@
 }
 
 std::optional<record_follower::planned_call>
-record_follower::next_call(bool from_peer, instant now)
+record_follower::next_call(bool from_peer, bool patient, instant now)
 {
   if (calling_ || (!from_peer && now < next_wakeup_)) {
     return std::nullopt;
@@ -43,14 +43,26 @@
   if (!from_peer) {
     consume_call_budget(now);
   }
-  latest_sending_ = now + (listing_ ? milliseconds(0) : from_peer ? settings_.peer_wait : settings_.watch_wait);
+  const milliseconds wait = listing_ ? milliseconds(0) : watch_wait(patient, now);
+  latest_sending_ = now + wait;
   if (listing_) {
-    return planned_call{ list_call{ list_after_ }, settings_.list_timeout };
+    if (list_after_.empty()) {
+      list_is_old_ = !from_peer && revision_ == 0;
+    }
+    return planned_call{ list_call{ list_after_, list_is_old_ }, settings_.list_timeout };
   }
-  if (from_peer) {
-    return planned_call{ watch_call{ revision_, settings_.peer_wait }, settings_.peer_wait + settings_.peer_slack };
+  const milliseconds slack = from_peer ? settings_.peer_slack : settings_.response_slack;
+  return planned_call{ watch_call{ revision_, wait }, wait + slack };
+}
+
+milliseconds
+record_follower::watch_wait(bool patient, instant now) const
+{
+  const bool old = !confirmed_at_ || now - *confirmed_at_ > settings_.max_record_gap;
+  if (old && !patient) {
+    return milliseconds(0);
   }
-  return planned_call{ watch_call{ revision_, settings_.watch_wait }, settings_.watch_wait + settings_.response_slack };
+  return from_peer_ ? settings_.peer_wait : settings_.watch_wait;
 }
 
 record_follower::progress
@@ -90,6 +102,13 @@
   calling_ = false;
 }
 
+bool
+record_follower::goes_back(const record_response& response) const
+{
+  const auto* page = std::get_if<record_page>(&response);
+  return page != nullptr && page->store_revision < revision_;
+}
+
 record_follower::progress
 record_follower::on(record_page page, instant now)
 {
@@ -99,6 +118,7 @@
     result.snapshot_begins = true;
     list_revision_ = page.store_revision;
   }
+  list_revision_ = std::min(list_revision_, page.store_revision);
   result.changes = std::move(page.records);
   if (page.more && !page.last_key.empty()) {
     list_after_ = page.last_key;
@@ -111,7 +131,9 @@
   result.snapshot_complete = list_revision_;
   listing_ = false;
   list_after_.clear();
-  confirm(page.age, now);
+  if (!list_is_old_) {
+    confirm(page.age, now);
+  }
   next_wakeup_ = now;
   return result;
 }
@@ -141,6 +163,7 @@
   on_call_success(result, {}, now);
   outage_grace_end_ = now + settings_.outage_grace;
   listing_ = true;
+  list_is_old_ = false;
   list_after_.clear();
   next_wakeup_ = now;
   return result;
--- a/libraries/coordination/steering/source_choice.cpp
+++ b/libraries/coordination/steering/source_choice.cpp
@@ -74,6 +74,7 @@
 source_choice::on_member_list(const member_list& response, instant now)
 {
   reported_daemons_ = response.daemons_in_domain;
+  members_awaited_until_.reset();
   for (const fleet_member& member : response.members) {
     on_member(member, now);
   }
@@ -160,9 +161,71 @@
   return best == nullptr ? std::nullopt : std::optional<fleet_member>(best->member);
 }
 
+void
+source_choice::expect_members(instant now)
+{
+  members_awaited_until_ = now + max_member_wait;
+}
+
+record_source
+source_choice::choose(const store_condition& store, instant now)
+{
+  if (members_awaited_until_ && now < *members_awaited_until_) {
+    return await_members{ *members_awaited_until_ };
+  }
+  if (in_outage()) {
+    return choose_during_outage(store, now);
+  }
+  auto wanted = peer(now);
+  if (!wanted && store.failing) {
+    wanted = fallback(now);
+  }
+  return wanted ? record_source(follow_member{ std::move(*wanted), false }) : record_source(read_store{});
+}
+
+record_source
+source_choice::choose_during_outage(const store_condition& store, instant now)
+{
+  const member_state* best = nullptr;
+  std::size_t higher = 0;
+  for (const member_state* state : by_rank(now)) {
+    if (state->member.domain != domain_ || state->rank <= self_rank_) {
+      continue;
+    }
+    ++higher;
+    if (best == nullptr || state->excluded_until < best->excluded_until) {
+      best = state;
+    }
+  }
+  if (higher < outage_readers) {
+    return read_store{};
+  }
+  if (store.callable && now >= *next_probe_) {
+    next_probe_ = now + probe_delay(1, now);
+    return read_store{};
+  }
+  return follow_member{ best->member, true };
+}
+
+/// `share` of the time in which each daemon of the domain reads the store once.
+duration
+source_choice::probe_delay(double share, instant now) const
+{
+  const auto round = std::min<duration>(outage_probe_interval * daemons_in_domain(now), max_outage_probe_delay);
+  return std::chrono::duration_cast<duration>(round * share);
+}
+
+void
+source_choice::on_store_success()
+{
+  old_sources_ = 0;
+  next_probe_.reset();
+}
+
 void
 source_choice::on_success(const std::string& id)
 {
+  on_store_success();
   const auto found = members_.find(id);
   if (found != members_.end()) {
     found->second.failures = 0;
@@ -182,6 +245,25 @@
   state.excluded_until = now + exclusion;
 }
 
+void
+source_choice::on_old_records(const std::string& id, instant now)
+{
+  if (in_outage()) {
+    return;
+  }
+  if (++old_sources_ < min_old_sources) {
+    on_failure(id, now);
+    return;
+  }
+  // None of them is worse than the others.
+  for (auto& [other, state] : members_) {
+    state.failures = 0;
+    state.excluded_until = instant{};
+  }
+  constexpr double hash_range = 18446744073709551616.0; // 2^64
+  next_probe_ = now + probe_delay(static_cast<double>(self_rank_.hash) / hash_range, now);
+}
+
 void
 source_choice::on_discovery_started(instant now)
 {
@@ -189,4 +271,12 @@
   next_discovery_ = now + (alone ? initial_discovery_interval : discovery_interval);
 }
 
+void
+source_choice::on_discovery_failed(instant now)
+{
+  if (members_awaited_until_) {
+    next_discovery_ = now + seed_retry_delay;
+  }
+}
+
 }
--- a/libraries/coordination/steering/tests/test_record_follower.cpp
+++ b/libraries/coordination/steering/tests/test_record_follower.cpp
@@ -14,7 +14,7 @@
 
   record_call call()
   {
-    const auto planned = follower.next_call(false, now);
+    const auto planned = follower.next_call(false, false, now);
     BOOST_REQUIRE(planned.has_value());
     return planned->call;
   }
@@ -23,6 +23,12 @@
   {
     call();
     follower.on_response(record_page{ {}, revision, "", false, {} }, now);
+    if (!follower.confirmed_at()) { // The first list may be old; a watch brings it up to date.
+      call();
+      follower.on_response(record_events{ {}, revision, {} }, now);
+      BOOST_TEST((follower.next_wakeup() - now <= milliseconds(500)));
+      now = std::max(now, follower.next_wakeup());
+    }
   }
 };
 
@@ -35,12 +41,12 @@
 // The pages of a list are not one snapshot, so the watch has to start at the revision of the first page.
 BOOST_AUTO_TEST_CASE(the_watch_continues_from_the_first_page_of_the_list)
 {
-  BOOST_TEST((std::get<list_call>(call()) == list_call{ "" }));
+  BOOST_TEST((std::get<list_call>(call()) == list_call{ "", true }));
   auto progress = follower.on_response(record_page{ {}, 50, "k", true, {} }, now);
   BOOST_TEST(progress.snapshot_begins);
   BOOST_TEST(!progress.snapshot_complete.has_value());
   BOOST_TEST(!follower.confirmed_at().has_value());
-  BOOST_TEST((std::get<list_call>(call()) == list_call{ "k" }));
+  BOOST_TEST((std::get<list_call>(call()) == list_call{ "k", true }));
   progress = follower.on_response(record_page{ {}, 60, "z", false, {} }, now);
   BOOST_TEST(!progress.snapshot_begins);
   BOOST_TEST(progress.snapshot_complete.value() == 50U);
@@ -76,10 +82,10 @@
   call();
   follower.on_response(failure, now);
   BOOST_TEST(!follower.listing_in_progress()); // Another source may be chosen now.
-  BOOST_TEST((std::get<list_call>(call()) == list_call{ "k" }));
+  BOOST_TEST((std::get<list_call>(call()) == list_call{ "k", true }));
   follower.on_response(record_page{ {}, 60, "m", true, {} }, now);
   BOOST_TEST(follower.listing_in_progress());
-  const auto from_peer = follower.next_call(true, now);
+  const auto from_peer = follower.next_call(true, false, now);
   BOOST_TEST((std::get<list_call>(from_peer->call) == list_call{ "" }));
 }
 
@@ -132,7 +138,7 @@
 BOOST_AUTO_TEST_CASE(records_removed_during_a_partition_have_a_grace_period_for_those_who_learn_of_it_later)
 {
   const auto events_from_peer = [this](std::uint64_t revision, milliseconds age) {
-    BOOST_REQUIRE(follower.next_call(true, now).has_value());
+    BOOST_REQUIRE(follower.next_call(true, false, now).has_value());
     follower.on_response(record_events{ {}, revision, { age, milliseconds(0) } }, now);
   };
   list(50);
@@ -142,7 +148,7 @@
   now += milliseconds(1300);
   events_from_peer(51, milliseconds(1400)); // The source is cut off as well.
   now += milliseconds(3000);
-  BOOST_REQUIRE(follower.next_call(true, now).has_value());
+  BOOST_REQUIRE(follower.next_call(true, false, now).has_value());
   follower.on_peer_failure();
   BOOST_TEST((follower.outage_grace_end() <= now));
   events_from_peer(90, milliseconds(100));
@@ -195,4 +201,44 @@
   BOOST_TEST((follower.outage_grace_end() > now));
 }
 
+// Load pattern: hundreds of daemons start together before a store whose current pages are expensive. Old pages are of
+// different ages, so that the changes since the oldest of them are needed, and they are needed at once.
+BOOST_AUTO_TEST_CASE(a_first_list_of_old_pages_is_brought_up_to_date_without_a_wait)
+{
+  call();
+  follower.on_response(record_page{ {}, 50, "k", true, {} }, now);
+  call();
+  const auto progress = follower.on_response(record_page{ {}, 43, "z", false, {} }, now);
+  BOOST_TEST(progress.snapshot_complete.value() == 43U);
+  BOOST_TEST(!follower.confirmed_at().has_value());
+  BOOST_TEST((std::get<watch_call>(call()) == watch_call{ 43, milliseconds(0) }));
+  follower.on_response(record_events{ {}, 61, {} }, now);
+  BOOST_TEST((follower.confirmed_at().value() == now));
+  BOOST_TEST((std::get<watch_call>(call()) == watch_call{ 61, settings.watch_wait }));
+}
+
+// A daemon that knows newer records could not tell a removed record in an old page from one that was added.
+BOOST_AUTO_TEST_CASE(a_daemon_that_knows_records_does_not_list_old_ones)
+{
+  call();
+  follower.on_response(record_page{ {}, 50, "", false, {} }, now);
+  call();
+  follower.on_response(history_unavailable{}, now);
+  BOOST_TEST((std::get<list_call>(call()) == list_call{ "", false }));
+  const record_response older = record_page{ {}, 49, "", false, {} };
+  BOOST_TEST(follower.goes_back(older));
+  BOOST_TEST(!follower.goes_back(record_page{ {}, 50, "", false, {} }));
+}
+
+// Load pattern: a reader falls silent, and the next one takes over with old records while nothing changes.
+BOOST_AUTO_TEST_CASE(old_records_are_confirmed_without_a_wait)
+{
+  list(50);
+  now += settings.max_peer_record_age + milliseconds(1);
+  BOOST_TEST((std::get<watch_call>(call()) == watch_call{ 50, milliseconds(0) }));
+  follower.on_peer_failure();
+  const auto patient = follower.next_call(true, true, now);
+  BOOST_TEST((std::get<watch_call>(patient->call) == watch_call{ 50, settings.peer_wait }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libraries/coordination/steering/watch_response.cpp
+++ b/libraries/coordination/steering/watch_response.cpp
@@ -5,8 +5,14 @@
 bool
 response_is_due(const pending_watch& follower, const record_status& records, milliseconds max_age, instant now)
 {
-  return records.revision > follower.revision || now - follower.requested_at >= follower.max_wait ||
-         records.age > max_age || records.renewed_at > follower.requested_at;
+  if (records.revision > follower.revision || records.renewed_at > follower.requested_at) {
+    return true;
+  }
+  const bool old = records.age > max_age;
+  if (old && records.renewing) {
+    return false;
+  }
+  return now - follower.requested_at >= follower.max_wait || (old && !follower.patient);
 }
 
 }
--- a/libraries/transport/page_server.cpp
+++ b/libraries/transport/page_server.cpp
@@ -18,15 +18,18 @@
 
 namespace {
 
-/// Connections at once: the platform's readiness checks, a metrics reader, and the daemons of a failure domain.
-constexpr std::size_t most_connections = 256;
+/// Connections at once: the platform's readiness checks, a metrics reader, the daemons of a failure domain, and those
+/// of the whole fleet that register with a seed when they start together.
+constexpr std::size_t most_connections = 2048;
 
 /// A connection without a request for this long is closed; longer than the usual interval of readiness checks and
 /// scrapes.
 constexpr milliseconds idle_timeout{ 15000 };
 
 constexpr std::size_t longest_path = 512;
-constexpr int backlog = 64;
+
+/// Connections that wait to be accepted. Beyond it a caller's connection is delayed by a second.
+constexpr int backlog = 2048;
 
 struct connection
 {
--- a/programs/coltsfootlockd/carried/carried_daemon.cpp
+++ b/programs/coltsfootlockd/carried/carried_daemon.cpp
@@ -198,10 +198,10 @@
   }
   const std::uint64_t revision = records_.cache().revision();
   const instant renewed_at = records_.renewed_at();
-  records_.advance(any_ready(group(groups.records, groups.member_discovery)), now_);
-  if (member_discovery_) {
+  if (member_discovery_) { // First, since a daemon that starts waits for members before it reads records.
     member_discovery_->advance(any_ready(group(groups.member_discovery, groups.checks)), now_);
   }
+  records_.advance(any_ready(group(groups.records, groups.member_discovery)), now_);
   for (const check_result& check : checks_.advance(group(groups.checks, groups.ready), now_)) {
     engine_.on_check(check.target, check.outcome, now_);
   }
@@ -318,6 +318,9 @@
   next_settings_check_ = now_ + settings_interval;
   engine_.on_pause(now_); // Like a pause: nothing was observed before the start.
   engine_.on_backlog_end();
+  if (member_discovery_ && member_discovery_->has_other_seeds()) {
+    sources_.expect_members(now_);
+  }
   while (!may_leave(now_)) {
     const poll_groups groups = collect_descriptors();
     wait();
--- a/programs/coltsfootlockd/carried/member_discovery.cpp
+++ b/programs/coltsfootlockd/carried/member_discovery.cpp
@@ -2,9 +2,11 @@
 
 #include "carried/peer_pages.h"
 
+#include "coltsfootlock/coordination/rendezvous.h"
 #include "coltsfootlock/protocol/relay_codec.h"
 #include "coltsfootlock/transport/log.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace coltsfootlock {
@@ -19,10 +21,18 @@
 member_discovery::member_discovery(const fleet_member& self, std::vector<endpoint> seeds, source_choice& sources)
   : self_(self)
   , seeds_(std::move(seeds))
+  , next_seed_(static_cast<std::size_t>(hash_text(self.id))) // Daemons that start together ask different seeds.
   , sources_(sources)
 {
 }
 
+bool
+member_discovery::has_other_seeds() const
+{
+  return std::any_of(
+    seeds_.begin(), seeds_.end(), [this](const endpoint& seed) { return seed != self_.call_address; });
+}
+
 void
 member_discovery::add_descriptor(std::vector<pollfd>& wanted) const
 {
@@ -45,6 +55,7 @@
       write_log(log_level::info,
                 "members",
                 "no answer seed=" + to_string(current_seed_) + " reason=\"" + std::get<error>(*result).message + "\"");
+      sources_.on_discovery_failed(now);
     }
     exchange_.reset();
   }
@@ -79,6 +90,7 @@
               "members",
               "unusable answer seed=" + to_string(current_seed_) + " status=" + std::to_string(response.status) +
                 " reason=\"" + why.message + "\"");
+    sources_.on_discovery_failed(now);
     return;
   }
   sources_.on_member_list(*list, now);
--- a/programs/coltsfootlockd/carried/member_discovery.h
+++ b/programs/coltsfootlockd/carried/member_discovery.h
@@ -17,6 +17,9 @@
 public:
   member_discovery(const fleet_member& self, std::vector<endpoint> seeds, source_choice& sources);
 
+  /// True if there is another daemon among the seeds.
+  bool has_other_seeds() const;
+
   void set_seeds(std::vector<endpoint> seeds) { seeds_ = std::move(seeds); }
 
   void add_descriptor(std::vector<pollfd>& wanted) const;
--- a/programs/coltsfootlockd/carried/peer_pages.cpp
+++ b/programs/coltsfootlockd/carried/peer_pages.cpp
@@ -44,15 +44,17 @@
   return found == request.query.end() ? std::string() : found->second;
 }
 
-page
-list_page(const record_path& records, encoded_changes& encoded, instant now)
+/// Load pattern: all daemons of a domain start together and request the list of their reader while it receives its own.
+std::optional<page>
+list_page(const record_path& records, encoded_changes& encoded, const page_request& request, instant now)
 {
   const auto age = records.age(now);
-  const auto all = encoded.all(records.cache());
-  if (!age || !all) {
-    return { status_unavailable, "", "text/plain" };
+  const auto all = age ? encoded.all(records.cache()) : std::nullopt;
+  if (all) {
+    return page{ status_ok, encode_response(*all, records.cache().revision(), *age), binary };
   }
-  return { status_ok, encode_response(*all, records.cache().revision(), *age), binary };
+  const bool waits = records.expects_list() && now - request.arrived < max_list_wait;
+  return waits ? std::nullopt : std::optional(page{ status_unavailable, "", "text/plain" });
 }
 
 std::optional<page>
@@ -67,7 +69,10 @@
   if (!after || !wait || *wait > max_wait_ms) {
     return page{ status_bad_request, "", "text/plain" };
   }
-  const pending_watch follower{ *after, request.arrived, milliseconds(static_cast<milliseconds::rep>(*wait)) };
+  const pending_watch follower{ *after,
+                                request.arrived,
+                                milliseconds(static_cast<milliseconds::rep>(*wait)),
+                                number_of(request, "patient").value_or(0) != 0 };
   const auto age = records.age(now);
   if (!age || !records.cache().complete()) {
     // All daemons of a domain may have started together, and this one may complete its list a little later than its
@@ -75,7 +80,9 @@
     const bool waits = now - follower.requested_at < follower.max_wait;
     return waits ? std::nullopt : std::optional(page{ status_unavailable, "", "text/plain" });
   }
-  const record_status known{ records.cache().revision(), age->records, records.renewed_at() };
+  const record_status known{
+    records.cache().revision(), age->records, records.renewed_at(), records.is_renewing(now)
+  };
   if (!response_is_due(follower, known, max_record_age, now)) {
     return std::nullopt;
   }
@@ -141,17 +148,20 @@
 }
 
 std::string
-request_target(const record_call& call)
+request_target(const record_call& call, bool patient)
 {
   struct visitor
   {
+    bool patient;
+
     std::string operator()(const list_call&) const { return "/records/list"; }
     std::string operator()(const watch_call& watch) const
     {
-      return "/records/watch?after=" + std::to_string(watch.after) + "&wait=" + std::to_string(watch.wait.count());
+      return "/records/watch?after=" + std::to_string(watch.after) + "&wait=" + std::to_string(watch.wait.count()) +
+             (patient ? "&patient=1" : "");
     }
   };
-  return std::visit(visitor{}, call);
+  return std::visit(visitor{ patient }, call);
 }
 
 record_response
@@ -180,7 +190,9 @@
 {
   const auto encoded = std::make_shared<encoded_changes>();
   server.add_page("/records/list",
-                  [&records, encoded](const page_request&, instant now) { return list_page(records, *encoded, now); });
+                  [&records, encoded](const page_request& request, instant now) {
+                    return list_page(records, *encoded, request, now);
+                  });
   server.add_page("/records/watch", [&records, encoded, max_record_age](const page_request& request, instant now) {
     return watch_page(records, *encoded, max_record_age, request, now);
   });
--- a/programs/coltsfootlockd/carried/peer_pages.h
+++ b/programs/coltsfootlockd/carried/peer_pages.h
@@ -11,9 +11,9 @@
 
 namespace coltsfootlock::peer_pages {
 
-/// Returns the path and query of a call to another daemon.
+/// Returns the path and query of a call to another daemon. `patient`: a watch waits for a renewal of old records.
 std::string
-request_target(const record_call& call);
+request_target(const record_call& call, bool patient);
 
 /// Parses another daemon's response to `call`.
 record_response
--- a/programs/coltsfootlockd/carried/record_path.cpp
+++ b/programs/coltsfootlockd/carried/record_path.cpp
@@ -2,6 +2,7 @@
 
 #include "carried/peer_pages.h"
 
+#include "coltsfootlock/coordination/steering/watch_response.h"
 #include "coltsfootlock/protocol/relay_codec.h"
 #include "coltsfootlock/transport/log.h"
 #include "platform/store_api.h"
@@ -16,12 +17,6 @@
 /// Bucket bounds from the latency of a nearby store to that of one hundreds of times slower.
 const std::vector<double> call_seconds = { 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5 };
 
-std::int64_t
-milliseconds_of(duration time)
-{
-  return std::chrono::duration_cast<milliseconds>(time).count();
-}
-
 }
 
 record_path::record_path(const endpoint& store,
@@ -63,7 +58,10 @@
 instant
 record_path::next_wakeup() const
 {
-  return exchange().busy() ? call_deadline_ : follower_.next_wakeup();
+  if (exchange().busy()) {
+    return call_deadline_;
+  }
+  return members_awaited_until_ ? *members_awaited_until_ : follower_.next_wakeup();
 }
 
 std::optional<response_age>
@@ -93,20 +91,35 @@
   }
 }
 
-void
+bool
+record_path::is_renewing(instant now) const
+{
+  return exchange().busy() && !sources_.in_outage() && now - source_since_ < max_renewal_time;
+}
+
+/// False if no call is to be made yet.
+bool
 record_path::choose_source(instant now)
 {
+  members_awaited_until_.reset();
   // In a large domain too many lists would share the store's link, and a peer's list is smaller.
   if (follower_.listing_in_progress() && !sources_.domain_is_large(now)) {
-    return;
+    return true;
   }
-  auto wanted = sources_.peer(now);
-  if (!wanted && follower_.failures() >= failures_before_fallback && now < store_retry_at_) {
-    wanted = sources_.fallback(now);
+  const store_condition store{ follower_.failures() >= failures_before_fallback && now < store_retry_at_,
+                               now >= follower_.next_wakeup() };
+  const record_source source = sources_.choose(store, now);
+  if (const auto* awaited = std::get_if<await_members>(&source)) {
+    members_awaited_until_ = awaited->until;
+    return false;
   }
+  const auto* followed = std::get_if<follow_member>(&source);
+  patient_ = followed != nullptr && followed->patient;
+  std::optional<fleet_member> wanted = followed != nullptr ? std::optional(followed->member) : std::nullopt;
   if (wanted == peer_) {
-    return;
+    return true;
   }
+  source_since_ = now;
   write_log(log_level::info,
             "records",
             "source=" + (wanted ? wanted->id : std::string("store")) +
@@ -115,13 +128,16 @@
     peer_exchange_ = http_exchange(wanted->call_address, platform::max_response_bytes);
   }
   peer_ = std::move(wanted);
+  return true;
 }
 
 void
 record_path::start_call(instant now)
 {
-  choose_source(now);
-  const auto planned = follower_.next_call(peer_.has_value(), now);
+  if (!choose_source(now)) {
+    return;
+  }
+  const auto planned = follower_.next_call(peer_.has_value(), patient_, now);
   if (!planned) {
     return;
   }
@@ -130,7 +146,7 @@
   call_deadline_ = now + planned->timeout;
   if (peer_) {
     ++counters_.peer_calls;
-    exchange().get(peer_pages::request_target(call_), call_deadline_);
+    exchange().get(peer_pages::request_target(call_, patient_), call_deadline_);
     return;
   }
   ++(std::holds_alternative<list_call>(call_) ? counters_.store_lists : counters_.store_watches);
@@ -145,11 +161,28 @@
 }
 
 void
-record_path::on_peer_problem(const std::string& problem, instant now)
+record_path::on_peer_failure(const std::string& problem, instant now)
 {
   ++counters_.peer_failures;
   write_log(log_level::warning, "records", "left source=" + peer_->id + " reason=\"" + problem + "\"");
   sources_.on_failure(peer_->id, now);
+  follower_.on_peer_failure();
+}
+
+void
+record_path::on_old_records(milliseconds records_age, instant now)
+{
+  if (sources_.in_outage()) {
+    return;
+  }
+  ++counters_.peer_failures;
+  write_log(log_level::warning,
+            "records",
+            "left source=" + peer_->id + " reason=\"records are " + std::to_string(records_age.count()) + " ms old\"");
+  sources_.on_old_records(peer_->id, now);
+  if (sources_.in_outage()) {
+    write_log(log_level::warning, "records", "all sources have old records, assumes an outage of the store");
+  }
 }
 
 void
@@ -157,8 +190,11 @@
 {
   const auto* failed = std::get_if<call_failed>(&response);
   if (peer_ && failed != nullptr) {
-    on_peer_problem(failed->why.message, now);
-    follower_.on_peer_failure();
+    on_peer_failure(failed->why.message, now);
+    return;
+  }
+  if (peer_ && follower_.goes_back(response)) {
+    on_peer_failure("its list is older than the known records", now);
     return;
   }
   std::string problem;
@@ -189,12 +225,16 @@
     write_log(log_level::info, "store", "regained revision=" + std::to_string(follower_.revision()));
   }
   apply(progress, now);
-  if (!peer_ || failed != nullptr) {
+  if (failed != nullptr) {
+    return;
+  }
+  if (!peer_) {
+    sources_.on_store_success();
     return;
   }
   const auto records_age = age(now);
   if (records_age && records_age->records > settings_.max_peer_record_age) {
-    on_peer_problem("records are " + std::to_string(milliseconds_of(records_age->records)) + " ms old", now);
+    on_old_records(records_age->records, now);
   } else {
     sources_.on_success(peer_->id);
   }
--- a/programs/coltsfootlockd/carried/record_path.h
+++ b/programs/coltsfootlockd/carried/record_path.h
@@ -56,6 +56,12 @@
   /// When this daemon last received a confirmation that its records are current.
   instant renewed_at() const { return renewed_at_; }
 
+  /// True if the last call went to another source a moment ago and may renew old records.
+  bool is_renewing(instant now) const;
+
+  /// True if the first list is expected: the store or another daemon has not failed to provide it.
+  bool expects_list() const { return !follower_.confirmed_at() && follower_.failures() == 0; }
+
   const record_cache& cache() const { return cache_; }
   std::optional<instant> confirmed_at() const { return follower_.confirmed_at(); }
   const record_counters& counters() const { return counters_; }
@@ -73,11 +79,12 @@
 
   http_exchange& exchange() { return peer_ ? peer_exchange_ : store_exchange_; }
   const http_exchange& exchange() const { return peer_ ? peer_exchange_ : store_exchange_; }
-  void choose_source(instant now);
+  bool choose_source(instant now);
   void start_call(instant now);
   record_response read_response(const http_answer& response) const;
   void on_response(record_response response, instant now);
-  void on_peer_problem(const std::string& problem, instant now);
+  void on_peer_failure(const std::string& problem, instant now);
+  void on_old_records(milliseconds records_age, instant now);
   void apply(const record_follower::progress& progress, instant now);
 
   const follower_settings settings_;
@@ -85,6 +92,9 @@
   http_exchange store_exchange_;
   http_exchange peer_exchange_;
   std::optional<fleet_member> peer_; ///< The daemon that the last call went to; empty for the store.
+  bool patient_ = false;             ///< The last call to it waits for a renewal of its records.
+  instant source_since_;             ///< Start of the first call to the current source.
+  std::optional<instant> members_awaited_until_; ///< No call is made before, unless members are found.
   record_follower follower_;
   record_cache cache_;
   source_choice& sources_;
