Exchange observations of lost targets between the daemons of a domain

A caller has three attempts within 30 ms, each through another daemon.

Change: a target is checked 60 ms after a first packet without an answer (350 ms before). A daemon that finds a target lost tells the source of its records, from which it reaches all daemons of the domain with their pending watches. They place no new flows there for 2.8 s and check it at once if callers wait. An observation never ends a flow. Daemons that found a target lost go on checking it, so that it stays reported while its record exists.

Ruled out: asking two targets at once, since a rejection by one of them ends the caller's attempt; datagrams between all daemons of a domain, since a daemon knows only the sources among them.

--- a/include/coltsfootlock/coordination/steering/record_follower.h
+++ b/include/coltsfootlock/coordination/steering/record_follower.h
@@ -78,7 +78,8 @@
   };
 
   /// The call to make now; empty while a call is in progress or before `next_wakeup`. `from_peer`: the call goes to
-  /// another daemon instead of the store. `patient`: that daemon's records are old, and a watch waits for their renewal.
+  /// another daemon instead of the store. `patient`: that daemon's records are old, and a watch waits for their
+  /// renewal.
   std::optional<planned_call> next_call(bool from_peer, bool patient, instant now);
 
   instant next_wakeup() const { return next_wakeup_; }
@@ -102,8 +103,8 @@
   /// takes beyond the wait of its call does not count, since it was on its way.
   std::optional<instant> confirmed_at() const { return confirmed_at_; }
 
-  /// True if the response to the last call is a list that is older than the known records. Removals that are known could
-  /// not be told from records that are missing in it.
+  /// True if the response to the last call is a list that is older than the known records. Removals that are known
+  /// could not be told from records that are missing in it.
   bool goes_back(const record_response& response) const;
 
   /// True while some pages of a list have been received and more follow. A change of the source restarts the list.
--- a/include/coltsfootlock/coordination/steering/source_choice.h
+++ b/include/coltsfootlock/coordination/steering/source_choice.h
@@ -83,9 +83,9 @@
 /// the store only if it has the highest rank of those that are known, or if no seed answers.
 ///
 /// Load pattern: the store is away for all. Records age everywhere at the same time, and no source is better than
-/// another. After `min_old_sources` sources in a row with old records, a daemon assumes such an outage: the members with
-/// the highest ranks go on reading the store, and the others stay with one of them. They still read the store in turn,
-/// `outage_probe_interval` apart, since they may all have been cut off or refused alone.
+/// another. After `min_old_sources` sources in a row with old records, a daemon assumes such an outage: the members
+/// with the highest ranks go on reading the store, and the others stay with one of them. They still read the store in
+/// turn, `outage_probe_interval` apart, since they may all have been cut off or refused alone.
 class source_choice
 {
 public:
--- a/include/coltsfootlock/coordination/steering/steering_engine.h
+++ b/include/coltsfootlock/coordination/steering/steering_engine.h
@@ -9,6 +9,7 @@
 #include "coltsfootlock/coordination/steering/steering_settings.h"
 #include "coltsfootlock/coordination/steering/target_directory.h"
 #include "coltsfootlock/state/record_change.h"
+#include "coltsfootlock/state/target_observation.h"
 
 #include <array>
 #include <cstdint>
@@ -24,6 +25,7 @@
   std::array<std::uint64_t, flow_end_reason_count> resets{};
   std::array<std::uint64_t, drop_reason_count> dropped{};
   std::uint64_t suspicions = 0;
+  std::uint64_t reported_targets = 0; ///< Reports of lost targets by other daemons that were news.
   std::uint64_t checks = 0;
   std::array<std::uint64_t, check_outcome_count> check_outcomes{};
 
@@ -68,6 +70,14 @@
   std::vector<reachability_check> start_due_checks(instant now);
   void on_check(const vm_id& target, check_outcome outcome, instant now);
 
+  /// Returns and clears the targets that were found to be lost since the last call, for the other daemons of the
+  /// domain.
+  std::vector<target_observation> take_observations();
+
+  /// Another daemon of the domain found a target to be lost. It gets no new flows for a while if others can take them,
+  /// and it is checked without delay if callers wait for it. Only checks of this daemon end flows.
+  void on_observation(const target_observation& observation, instant now);
+
   /// Number of daemons in the own domain, including this one. They share the rate of new flows of each cold target.
   void set_daemons_in_domain(std::size_t count) { daemons_in_domain_ = count; }
 
@@ -117,6 +127,7 @@
   bool is_quiet(const target_state& target, instant now) const;
   bool is_gone(const target_state& target, instant now) const;
   bool on_silent_check(target_state& target, instant now);
+  bool check_is_due(const target_state& target, instant now) const;
   bool records_are_fresh(instant now) const;
   void on_target_progress(carried_flow& flow, target_state& target, instant now);
   void release_flow(const carried_flow& flow);
@@ -149,6 +160,7 @@
   instant check_answered_at_;             ///< Last time that a target of the own domain answered a check.
   std::uint64_t last_answered_check_ = 0; ///< Highest number of a check that a target of the own domain answered.
   std::vector<dead_target> dead_targets_; ///< Found since the last tick.
+  std::vector<target_observation> observations_;
   instant next_expiry_;
   instant observing_since_; ///< Start of uninterrupted observation: the start of the daemon or the end of the last
                             ///< pause. Silence before it is no evidence.
--- a/include/coltsfootlock/coordination/steering/steering_timing.h
+++ b/include/coltsfootlock/coordination/steering/steering_timing.h
@@ -40,6 +40,10 @@
 /// 250 ms).
 inline constexpr milliseconds check_delay{ 350 };
 
+/// A target that leaves a first packet without an answer for this long is checked: twice the time in which a live one
+/// answers. A caller whose packet is rejected has up to two more attempts, a few milliseconds apart.
+inline constexpr milliseconds opening_check_delay = 2 * expected_answer_time;
+
 /// Timeout of a check. A connection takes less than 1 ms inside a domain and 8 ms between domains.
 inline constexpr milliseconds check_timeout{ 200 };
 
--- a/include/coltsfootlock/coordination/steering/watch_response.h
+++ b/include/coltsfootlock/coordination/steering/watch_response.h
@@ -13,7 +13,8 @@
   std::uint64_t revision = 0; ///< The follower has all changes up to this revision.
   instant requested_at;
   milliseconds max_wait{ 0 };
-  bool patient = false; ///< The follower has no better source and waits for a renewal of old records.
+  std::uint64_t observation = 0; ///< The follower has the observations up to this number.
+  bool patient = false;          ///< The follower has no better source and waits for a renewal of old records.
 
   auto operator<=>(const pending_watch&) const = default;
 };
@@ -24,6 +25,7 @@
   std::uint64_t revision = 0;
   milliseconds age{ 0 };
   instant renewed_at; ///< When this daemon last received a confirmation that its records are current.
+  std::uint64_t newest_observation = 0;
   bool renewing = false; ///< This daemon has just asked another source for newer records.
 
   auto operator<=>(const record_status&) const = default;
@@ -31,7 +33,8 @@
 
 /// True if the watch is to be answered now: there are changes, its maximum wait has passed, the records are older than
 /// `max_age`, so that the follower has to choose another source, or they were confirmed after the request. The last
-/// condition keeps the age of the records from growing with each relay between the store and the follower.
+/// condition keeps the age of the records from growing with each relay between the store and the follower. New
+/// observations of lost targets are sent at once as well.
 ///
 /// Load pattern: the reader of a domain falls silent, and the records of all its followers reach `max_age` together. If
 /// the next reader reported its old records while it makes its first call to the store, all others would read the store
--- a/include/coltsfootlock/protocol/relay_codec.h
+++ b/include/coltsfootlock/protocol/relay_codec.h
@@ -17,7 +17,10 @@
 
 /// Encodes a response to a daemon that follows the records: a MessagePack map with the encoded changes as "changes".
 std::string
-encode_response(const std::string& changes, std::uint64_t revision, const response_age& age);
+encode_response(const std::string& changes,
+                std::uint64_t revision,
+                const response_age& age,
+                const observation_list& lost_targets);
 
 /// A response that cannot be decoded counts as a failed call.
 record_response
--- a/libraries/coordination/steering/open_flow_decisions.cpp
+++ b/libraries/coordination/steering/open_flow_decisions.cpp
@@ -135,6 +135,7 @@
   target.awaiting_since = now;
   target.silent_checks = 0;
   target.checked_in_vain = false;
+  target.found_lost = false;
   isolation_.on_progress();
   target.pending_since = now;
   target.suspected_until = instant{};
--- a/libraries/coordination/steering/target_directory.cpp
+++ b/libraries/coordination/steering/target_directory.cpp
@@ -101,6 +101,7 @@
     target.suspected_until = instant{};
     target.silent_checks = 0;
     target.checked_in_vain = false;
+    target.found_lost = false;
     target.cold_allowance = 0;
     target.cold_allowance_at = now;
   }
--- a/libraries/coordination/steering/target_loss_decisions.cpp
+++ b/libraries/coordination/steering/target_loss_decisions.cpp
@@ -44,6 +44,45 @@
   return target.phase == target_phase::gone && records_are_fresh(now) && is_quiet(target, now);
 }
 
+/// Load pattern: a process ends and its VM rejects first packets. Each caller that opens a flow to it loses an attempt,
+/// so a target is checked soon after a first packet without an answer, and at once if another daemon found it lost. The
+/// daemons that found it lost go on checking it and reporting it, so that no caller has to try it again meanwhile.
+bool
+steering_engine::check_is_due(const target_state& target, instant now) const
+{
+  if (target.found_lost) {
+    return true;
+  }
+  if (target.awaiting_flows == 0) {
+    return false;
+  }
+  const bool opening_overdue = target.pending_opens > 0 && now - std::max(target.pending_since, observing_since_) >
+                                                             steering_timing::opening_check_delay;
+  const bool reported = target.reported_lost > std::max(target.last_progress, observing_since_);
+  return opening_overdue || reported ||
+         now - std::max(target.awaiting_since, observing_since_) > steering_timing::check_delay;
+}
+
+std::vector<target_observation>
+steering_engine::take_observations()
+{
+  return std::exchange(observations_, {});
+}
+
+void
+steering_engine::on_observation(const target_observation& observation, instant now)
+{
+  target_state* target = targets_.find(observation.target);
+  const instant seen_at = now - observation.age;
+  if (target == nullptr || target->record.vm.incarnation != observation.incarnation ||
+      target->last_progress >= seen_at || seen_at <= target->reported_lost) {
+    return;
+  }
+  target->reported_lost = seen_at;
+  target->suspected_until = std::max(target->suspected_until, seen_at + steering_timing::suspicion_duration);
+  ++counters_.reported_targets;
+}
+
 /// Load patterns: a target stops answering, or its domain is cut off. Callers whose packets it has acknowledged wait
 /// without sending anything, and its record stays for three heartbeats, which is longer than many callers wait. Only
 /// targets that leave a caller without an answer for longer than usual are checked.
@@ -62,8 +101,7 @@
     if (target.check_running || now < target.next_check || target.phase != target_phase::present) {
       return;
     }
-    if (target.awaiting_flows > 0 &&
-        now - std::max(target.awaiting_since, observing_since_) > steering_timing::check_delay) {
+    if (check_is_due(target, now)) {
       silence = silence || target.checked_in_vain;
       due.push_back(&target);
     } else if (target.record.vm.domain == settings_.domain && target.suspected_until <= now &&
@@ -115,6 +153,7 @@
   if (outcome == check_outcome::accepted) {
     target->silent_checks = 0;
     target->checked_in_vain = false;
+    target->found_lost = false;
     if (target->awaiting_flows > 0) { // Otherwise it was checked only as the reference target.
       target->next_check = now + steering_timing::check_interval;
     }
@@ -122,10 +161,20 @@
   }
   // A target of another domain may still run behind a network partition, but callers of this daemon cannot reach it
   // either.
+  const unsigned silent_checks = target->silent_checks;
   const bool lost = outcome == check_outcome::refused || on_silent_check(*target, now);
-  if (target->awaiting_flows > 0 && lost) {
-    target->next_check = now + steering_timing::check_interval;
-    target->suspected_until = now + 2 * steering_timing::suspicion_duration;
+  // A first conclusive silent check is enough for a hint.
+  if (outcome == check_outcome::refused || target->silent_checks > silent_checks) {
+    observations_.push_back(
+      { id, target->record.vm.incarnation, std::chrono::duration_cast<milliseconds>(now - target->check_started) });
+  }
+  if (!lost) {
+    return;
+  }
+  target->found_lost = true;
+  target->next_check = now + steering_timing::check_interval;
+  target->suspected_until = now + 2 * steering_timing::suspicion_duration;
+  if (target->awaiting_flows > 0) {
     dead_targets_.push_back({ id, target->check_started, now });
     report_target(*target, "dead evidence=" + check_evidence(*target, outcome, now), now);
   }
--- /dev/null
+++ b/libraries/coordination/steering/tests/test_observations.cpp
@@ -0,0 +1,240 @@
+#include "steering_fixture.h"
+
+#include "coltsfootlock/coordination/steering/observation_board.h"
+#include "coltsfootlock/coordination/steering/steering_timing.h"
+
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace coltsfootlock;
+using coltsfootlock::testing::steering_fixture;
+
+namespace {
+
+using origin = observation_board::origin;
+
+const instant start(seconds(100));
+
+target_observation
+lost(int number, milliseconds age = milliseconds(0), std::uint64_t incarnation = 1)
+{
+  return { "t-" + std::to_string(number), incarnation, age };
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(observations)
+
+BOOST_AUTO_TEST_CASE(an_observation_is_passed_on_once)
+{
+  observation_board board;
+  BOOST_TEST(board.add(lost(1), origin::own, start));
+  BOOST_TEST(!board.add(lost(1, milliseconds(10)), origin::follower, start));
+  BOOST_TEST(!board.add(lost(1), origin::follower, start + milliseconds(500)));
+  BOOST_TEST(board.add(lost(1), origin::follower, start + observation_board::min_renewal));
+  BOOST_TEST(board.add(lost(1, milliseconds(0), 2), origin::follower, start + observation_board::min_renewal));
+  BOOST_TEST(!board.add(lost(2, observation_board::max_age + milliseconds(1)), origin::follower, start));
+}
+
+BOOST_AUTO_TEST_CASE(followers_get_what_they_do_not_know)
+{
+  observation_board board;
+  board.add(lost(1), origin::own, start);
+  board.add(lost(2), origin::source, start);
+  const instant now = start + milliseconds(100);
+  BOOST_TEST((board.since(1, now) == observation_list{ { lost(2, milliseconds(100)) }, 2 }));
+  BOOST_TEST(board.since(2, now).observations.empty());
+  BOOST_TEST(board.since(700, now).observations.size() == 2U); // A number of a previous process.
+  BOOST_TEST(board.since(0, start + observation_board::max_age + milliseconds(1)).observations.empty());
+}
+
+BOOST_AUTO_TEST_CASE(the_source_is_sent_what_it_does_not_know)
+{
+  observation_board board;
+  board.add(lost(1), origin::own, start);
+  board.add(lost(2), origin::source, start);
+  board.add(lost(3), origin::follower, start);
+  auto unsent = board.unsent(8, start);
+  BOOST_TEST((unsent == std::vector<target_observation>{ lost(1), lost(3) }));
+  BOOST_TEST(board.unsent(1, start).size() == 1U);
+  board.on_sent(unsent);
+  BOOST_TEST(board.unsent(8, start).empty());
+}
+
+// Other daemons must not be able to use up the memory of this one.
+BOOST_AUTO_TEST_CASE(the_number_of_observations_is_limited)
+{
+  observation_board board;
+  for (int number = 0; number < static_cast<int>(observation_board::max_entries) + 100; ++number) {
+    board.add(lost(number), origin::follower, start);
+  }
+  BOOST_TEST(board.since(0, start).observations.size() == observation_board::max_entries);
+  const instant later = start + observation_board::max_age + milliseconds(1);
+  BOOST_TEST(board.add(lost(1), origin::follower, later));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_target_that_another_daemon_found_lost_gets_no_new_flows, steering_fixture)
+{
+  publish(make_target(1, "a"));
+  publish(make_target(2, "a"));
+  engine.on_observation({ "t-1", 1, milliseconds(100) }, now);
+  for (std::uint16_t port = 1; port <= 20; ++port) {
+    BOOST_TEST(tag_of(open(flow_of(port))) == 2U);
+  }
+  now += steering_timing::suspicion_duration;
+  std::set<std::uint64_t> tags;
+  for (std::uint16_t port = 21; port <= 60; ++port) {
+    tags.insert(tag_of(open(flow_of(port))));
+  }
+  BOOST_TEST(tags.contains(1U));
+}
+
+// The observation is older than the last answer, or it concerns a previous process under the same name.
+BOOST_FIXTURE_TEST_CASE(an_observation_that_is_out_of_date_is_ignored, steering_fixture)
+{
+  publish(make_target(1, "a"));
+  establish(flow_of(1));
+  engine.on_observation({ "t-1", 1, milliseconds(10) }, now);
+  engine.on_observation({ "t-1", 7, milliseconds(0) }, now);
+  engine.on_observation({ "t-9", 1, milliseconds(0) }, now);
+  BOOST_TEST(engine.counters().reported_targets == 0U);
+}
+
+// What another daemon saw may be due to its own position. Flows end only on evidence of this daemon.
+BOOST_FIXTURE_TEST_CASE(an_observation_ends_no_flow, steering_fixture)
+{
+  publish(make_target(1, "a"));
+  establish(flow_of(1));
+  send(flow_of(1), token_of_tag(1), 1, 101, 200);
+  now += milliseconds(20);
+  engine.on_observation({ "t-1", 1, milliseconds(10) }, now);
+  const auto checks = engine.start_due_checks(now);
+  BOOST_TEST_REQUIRE(checks.size() == 1U); // Without the usual delay.
+  BOOST_TEST(pass(milliseconds(150)).empty());
+  engine.on_check("t-1", check_outcome::accepted, now);
+  BOOST_TEST(pass(milliseconds(1000)).empty());
+}
+
+namespace {
+
+constexpr std::uint64_t targets = 120;
+constexpr std::uint64_t lost_targets = 30;
+
+/// The daemons of a large domain, whose fabric hands each attempt of a caller to another one. A quarter of the targets
+/// is lost: their VMs reject first packets, so that the caller tries again at once, three times in all.
+struct loss_at_scale
+{
+  std::vector<std::unique_ptr<steering_fixture>> daemons;
+  std::vector<observation_board> boards;
+  std::mt19937_64 random{ 1 };
+  std::uint16_t port = 0;
+  int rejected = 0;
+  int failed_callers = 0;
+
+  loss_at_scale()
+  {
+    for (int number = 0; number < 58; ++number) {
+      auto& daemon = daemons.emplace_back(std::make_unique<steering_fixture>());
+      steering_settings settings = steering_fixture::make_settings();
+      settings.self = "entry-a-" + std::to_string(number);
+      daemon->engine = steering_engine(settings);
+      daemon->engine.on_pause(daemon->now);
+      daemon->engine.on_backlog_end();
+      daemon->publish_catalogue(1, { steering_fixture::make_service(steering_fixture::feed, "feed") });
+      daemon->engine.on_snapshot_begin();
+      daemon->complete();
+      for (std::uint64_t tag = 1; tag <= targets; ++tag) {
+        daemon->publish(steering_fixture::make_target(tag, "a"));
+      }
+    }
+    boards.resize(daemons.size());
+  }
+
+  void call()
+  {
+    for (int attempt = 0; attempt < 3; ++attempt) {
+      steering_fixture& daemon = *daemons[random() % daemons.size()];
+      const flow_key flow = steering_fixture::flow_of(++port, 0x64400000U + static_cast<std::uint32_t>(random() % 997));
+      const auto decision = daemon.open(flow);
+      if (steering_fixture::tag_of(decision) > lost_targets) {
+        daemon.send(flow, std::get<forward_packet>(decision).token, 1);
+        return;
+      }
+      ++rejected;
+    }
+    ++failed_callers;
+  }
+
+  /// 100 ms: ticks, checks whose outcomes follow in the next step, and, if wanted, the exchange of observations, which
+  /// takes a step on the way up and another one on the way down.
+  void step(bool exchange)
+  {
+    for (std::size_t index = 0; index < daemons.size(); ++index) {
+      steering_fixture& daemon = *daemons[index];
+      daemon.now += milliseconds(100);
+      daemon.engine.tick(daemon.now);
+      for (const reachability_check& check : daemon.engine.start_due_checks(daemon.now)) {
+        const bool is_lost = std::stoul(check.target.substr(2)) <= lost_targets;
+        daemon.engine.on_check(
+          check.target, is_lost ? check_outcome::refused : check_outcome::accepted, daemon.now + milliseconds(1));
+      }
+      for (const target_observation& one : daemon.engine.take_observations()) {
+        boards[index].add(one, origin::own, daemon.now);
+      }
+    }
+    if (!exchange) {
+      return;
+    }
+    const instant now = daemons.front()->now;
+    const auto list = boards.front().since(0, now);
+    for (std::size_t index = 1; index < daemons.size(); ++index) {
+      for (const target_observation& one : list.observations) {
+        if (boards[index].add(one, origin::source, now)) {
+          daemons[index]->engine.on_observation(one, now);
+        }
+      }
+    }
+    for (std::size_t index = 1; index < daemons.size(); ++index) {
+      const auto unsent = boards[index].unsent(8, now);
+      for (const target_observation& one : unsent) {
+        if (boards.front().add(one, origin::follower, now)) {
+          daemons.front()->engine.on_observation(one, now);
+        }
+      }
+      boards[index].on_sent(unsent);
+    }
+  }
+
+  void play(bool exchange)
+  {
+    for (int steps = 0; steps < 40; ++steps) {
+      for (int calls = 0; calls < 27; ++calls) {
+        call();
+      }
+      step(exchange);
+    }
+  }
+};
+
+}
+
+// Load pattern: a quarter of a domain's targets is lost at once, and their addresses reject first packets. 58 daemons
+// open 270 flows a second, each less than one to a target in the time until the records change.
+BOOST_AUTO_TEST_CASE(a_domain_needs_few_attempts_to_find_its_lost_targets)
+{
+  loss_at_scale alone;
+  alone.play(false);
+  loss_at_scale together;
+  together.play(true);
+  BOOST_TEST_MESSAGE("rejected " << alone.rejected << " and " << together.rejected << ", callers that failed "
+                                 << alone.failed_callers << " and " << together.failed_callers);
+  BOOST_TEST(together.rejected <= 4 * static_cast<int>(lost_targets));
+  BOOST_TEST(together.rejected * 2 < alone.rejected);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/libraries/coordination/steering/tests/test_reset_soundness.cpp
+++ b/libraries/coordination/steering/tests/test_reset_soundness.cpp
@@ -226,6 +226,14 @@
         after(latency(one.domain, checked.record.vm.domain), [finish, outcome] { finish(outcome); });
       });
     }
+    for (const target_observation& observation : one.engine->take_observations()) {
+      for (std::size_t other = index % 2; other < daemons_.size(); other += 2) {
+        after(between(5, 400), [this, other, observation, seen_at = now_ - observation.age] {
+          const auto age = std::chrono::duration_cast<milliseconds>(now_ - seen_at);
+          daemons_[other].engine->on_observation({ observation.target, observation.incarnation, age }, now_);
+        });
+      }
+    }
     for (const steering_event& event : one.engine->take_events()) {
       const std::size_t id = event.message.find(" id=") + 4;
       one.events[event.message.substr(id, event.message.find(' ', id) - id)].push_back(time_text() + " " +
--- a/libraries/coordination/steering/tests/test_watch_response.cpp
+++ b/libraries/coordination/steering/tests/test_watch_response.cpp
@@ -70,4 +70,40 @@
   BOOST_TEST(max_observed_age < settings.max_peer_record_age);
 }
 
+// Load pattern: the reader of a domain falls silent, and all others ask the next one, which has just called the store.
+BOOST_AUTO_TEST_CASE(a_daemon_that_renews_old_records_lets_its_followers_wait)
+{
+  const instant requested(seconds(10));
+  const pending_watch follower{ 7, requested, milliseconds(0) };
+  const milliseconds max_age(2200);
+  const record_status renewing{ 7, milliseconds(2300), requested - milliseconds(2300), 0, true };
+  BOOST_TEST(!response_is_due(follower, renewing, max_age, requested + milliseconds(10)));
+  const record_status renewed{ 7, milliseconds(4), requested + milliseconds(8), 0, true };
+  BOOST_TEST(response_is_due(follower, renewed, max_age, requested + milliseconds(12)));
+  const record_status failed{ 7, milliseconds(2300), requested - milliseconds(2300), 0, false };
+  BOOST_TEST(response_is_due(follower, failed, max_age, requested + milliseconds(10)));
+}
+
+// Load pattern: the store is away for all. A follower that has no better source does not ask again and again.
+BOOST_AUTO_TEST_CASE(a_patient_follower_waits_for_a_renewal)
+{
+  const instant requested(seconds(10));
+  const pending_watch follower{ 7, requested, milliseconds(600), 0, true };
+  const record_status old{ 7, milliseconds(3000), requested - milliseconds(3000), 0, false };
+  const milliseconds max_age(2200);
+  BOOST_TEST(!response_is_due(follower, old, max_age, requested + milliseconds(599)));
+  BOOST_TEST(response_is_due(follower, old, max_age, requested + milliseconds(600)));
+}
+
+// Load pattern: many targets are lost at once. What one daemon found reaches the others before their next flows.
+BOOST_AUTO_TEST_CASE(a_new_observation_is_sent_at_once)
+{
+  const instant requested(seconds(10));
+  pending_watch follower{ 7, requested, milliseconds(600), 3 };
+  const record_status known{ 7, milliseconds(300), requested - milliseconds(300), 4 };
+  BOOST_TEST(response_is_due(follower, known, milliseconds(2200), requested + milliseconds(1)));
+  follower.observation = 4;
+  BOOST_TEST(!response_is_due(follower, known, milliseconds(2200), requested + milliseconds(1)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libraries/coordination/steering/watch_response.cpp
+++ b/libraries/coordination/steering/watch_response.cpp
@@ -5,7 +5,8 @@
 bool
 response_is_due(const pending_watch& follower, const record_status& records, milliseconds max_age, instant now)
 {
-  if (records.revision > follower.revision || records.renewed_at > follower.requested_at) {
+  if (records.revision > follower.revision || records.renewed_at > follower.requested_at ||
+      records.newest_observation > follower.observation) {
     return true;
   }
   const bool old = records.age > max_age;
--- a/libraries/protocol/relay_codec.cpp
+++ b/libraries/protocol/relay_codec.cpp
@@ -273,12 +273,45 @@
   return true;
 }
 
+/// Decodes the observations of lost targets; a daemon of an older version sends none.
+observation_list
+decode_lost_targets(const json& content, json_fields& fields, error& why)
+{
+  observation_list result;
+  const auto lost = content.find("lost");
+  if (lost == content.end()) {
+    return result;
+  }
+  if (!lost->is_array() || lost->size() > max_elements) {
+    why = { error_kind::wrong_type, "lost must be a list of rows; update the daemon" };
+    return result;
+  }
+  const json no_names = json::array();
+  result.newest = fields.number("newest_lost", 0, max_number);
+  for (const json& content_row : *lost) {
+    if (!content_row.is_array()) {
+      why = { error_kind::wrong_type, "a lost target must be a row; update the daemon" };
+    }
+    if (why.kind != error_kind::none) {
+      break;
+    }
+    json_row row(content_row, no_names, why);
+    target_observation one;
+    one.target = row.text(max_text_bytes);
+    one.incarnation = row.number(0, max_number);
+    one.age = milliseconds(static_cast<milliseconds::rep>(row.number(0, max_number)));
+    result.observations.push_back(std::move(one));
+  }
+  return result;
+}
+
 /// Decodes the common part of lists and changes; false with the reason in `why` if the bytes cannot be parsed.
 bool
 decode(std::string_view bytes,
        std::vector<record_change>& changes,
        std::uint64_t& revision,
        response_age& age,
+       observation_list& lost_targets,
        error& why)
 {
   json content = from_bytes(bytes, why);
@@ -296,6 +329,7 @@
   revision = fields.number("revision", 0, max_number);
   age.records = milliseconds(static_cast<milliseconds::rep>(fields.number("age_ms", 0, max_number)));
   age.outage_grace_left = milliseconds(static_cast<milliseconds::rep>(fields.number("settle_ms", 0, max_number)));
+  lost_targets = decode_lost_targets(content, fields, why);
   return fields.ok() && decode_changes(records, changes, why);
 }
 
@@ -313,11 +347,20 @@
 }
 
 std::string
-encode_response(const std::string& changes, std::uint64_t revision, const response_age& age)
+encode_response(const std::string& changes,
+                std::uint64_t revision,
+                const response_age& age,
+                const observation_list& lost_targets)
 {
+  json lost = json::array();
+  for (const target_observation& one : lost_targets.observations) {
+    lost.push_back({ one.target, one.incarnation, one.age.count() });
+  }
   return to_bytes({ { "revision", revision },
                     { "age_ms", age.records.count() },
                     { "settle_ms", age.outage_grace_left.count() },
+                    { "lost", std::move(lost) },
+                    { "newest_lost", lost_targets.newest },
                     { "changes", json::binary({ changes.begin(), changes.end() }) } });
 }
 
@@ -325,8 +368,9 @@
 decode_page(std::string_view bytes)
 {
   record_page page;
+  observation_list lost_targets; // The next watch returns them as well.
   error why;
-  if (!decode(bytes, page.records, page.store_revision, page.age, why)) {
+  if (!decode(bytes, page.records, page.store_revision, page.age, lost_targets, why)) {
     return call_failed{ why };
   }
   return page;
@@ -337,7 +381,7 @@
 {
   record_events events;
   error why;
-  if (!decode(bytes, events.changes, events.store_revision, events.age, why)) {
+  if (!decode(bytes, events.changes, events.store_revision, events.age, events.lost_targets, why)) {
     return call_failed{ why };
   }
   return events;
--- a/libraries/protocol/tests/test_relay_codec.cpp
+++ b/libraries/protocol/tests/test_relay_codec.cpp
@@ -49,8 +49,12 @@
 
 BOOST_AUTO_TEST_CASE(answers_arrive_as_they_were_sent)
 {
-  const record_events events{ one_of_each_kind(), 12, { milliseconds(30), milliseconds(40) } };
-  const std::string bytes = encode_response(encode_changes(events.changes), events.store_revision, events.age);
+  const record_events events{ one_of_each_kind(),
+                              12,
+                              { milliseconds(30), milliseconds(40) },
+                              { { { "t-9", 1780000000000, milliseconds(70) } }, 5 } };
+  const std::string bytes =
+    encode_response(encode_changes(events.changes), events.store_revision, events.age, events.lost_targets);
   BOOST_TEST((decode_events(bytes) == record_response(events)));
   const record_page page{ one_of_each_kind(), 12, "", false, { milliseconds(30), milliseconds(40) } };
   BOOST_TEST((decode_page(bytes) == record_response(page)));
@@ -76,7 +80,7 @@
     target.slots = 2;
     changes.push_back({ 100000 + number, target_published{ target } });
   }
-  const std::string bytes = encode_response(encode_changes(changes), 200000, {});
+  const std::string bytes = encode_response(encode_changes(changes), 200000, {}, {});
   BOOST_TEST(bytes.size() <= 69 * changes.size());
   const record_events expected{ changes, 200000, {} };
   BOOST_TEST((decode_events(bytes) == record_response(expected)));
@@ -97,7 +101,7 @@
     value->services.push_back(entry);
   }
   const std::vector<record_change> changes{ { 100000, catalogue_published{ value } } };
-  const std::string bytes = encode_response(encode_changes(changes), 200000, {});
+  const std::string bytes = encode_response(encode_changes(changes), 200000, {}, {});
   BOOST_TEST(bytes.size() <= 26 * value->services.size());
   const record_events expected{ changes, 200000, {} };
   BOOST_TEST((decode_events(bytes) == record_response(expected)));
@@ -106,7 +110,7 @@
 // Guards against a crash or a silently truncated list on input from another daemon version or a broken connection.
 BOOST_AUTO_TEST_CASE(damaged_answers_are_failed_calls)
 {
-  const std::string bytes = encode_response(encode_changes(one_of_each_kind()), 12, {});
+  const std::string bytes = encode_response(encode_changes(one_of_each_kind()), 12, {}, {});
   for (std::size_t size = 0; size < bytes.size(); ++size) {
     BOOST_TEST(std::holds_alternative<call_failed>(decode_events(bytes.substr(0, size))), size);
   }
--- a/programs/coltsfootlockd/carried/carried_daemon.cpp
+++ b/programs/coltsfootlockd/carried/carried_daemon.cpp
@@ -67,10 +67,12 @@
   , engine_(settings.steering)
   , packets_(std::move(socket), engine_)
   , sources_(settings.steering.self, settings.steering.domain, link_kbps(settings))
+  , observations_(engine_)
   , records_(settings.platform,
              settings.follower,
              static_cast<std::uint32_t>(hash_text(settings.steering.self)),
              sources_,
+             observations_,
              engine_)
   , ready_server_(std::move(ready_server))
 {
@@ -93,7 +95,9 @@
 carried_daemon::serve_peers(const endpoint& call_address, page_server server)
 {
   peer_server_ = std::move(server);
-  peer_pages::add_pages(*peer_server_, records_, sources_, settings_.follower.max_peer_record_age);
+  peer_pages::add_pages(
+    *peer_server_, records_, observations_.board(), sources_, settings_.follower.max_peer_record_age);
+  observations_.add_page(*peer_server_);
   member_discovery_.emplace(
     fleet_member{ settings_.steering.self, settings_.steering.domain, call_address, link_kbps(settings_) },
     settings_.seeds,
@@ -152,6 +156,8 @@
   if (member_discovery_) {
     member_discovery_->add_descriptor(descriptors_);
   }
+  groups.observations = descriptors_.size();
+  observations_.add_descriptor(descriptors_);
   groups.checks = descriptors_.size();
   checks_.add_descriptors(descriptors_);
   groups.ready = descriptors_.size();
@@ -199,12 +205,14 @@
   const std::uint64_t revision = records_.cache().revision();
   const instant renewed_at = records_.renewed_at();
   if (member_discovery_) { // First, since a daemon that starts waits for members before it reads records.
-    member_discovery_->advance(any_ready(group(groups.member_discovery, groups.checks)), now_);
+    member_discovery_->advance(any_ready(group(groups.member_discovery, groups.observations)), now_);
   }
   records_.advance(any_ready(group(groups.records, groups.member_discovery)), now_);
+  observations_.advance(any_ready(group(groups.observations, groups.checks)), records_.followed(), now_);
   for (const check_result& check : checks_.advance(group(groups.checks, groups.ready), now_)) {
     engine_.on_check(check.target, check.outcome, now_);
   }
+  observations_.collect(now_);
   const bool tick_due = now_ >= next_tick_;
   const auto serve = [this, tick_due](page_server& server, std::span<const pollfd> waited, bool records_changed) {
     if (tick_due || records_changed || any_ready(waited)) {
--- a/programs/coltsfootlockd/carried/carried_daemon.h
+++ b/programs/coltsfootlockd/carried/carried_daemon.h
@@ -44,6 +44,7 @@
   {
     std::size_t records = 0;
     std::size_t member_discovery = 0;
+    std::size_t observations = 0;
     std::size_t checks = 0;
     std::size_t ready = 0;
     std::size_t metrics = 0;
@@ -64,6 +65,7 @@
   steering_engine engine_;
   packet_path packets_;
   source_choice sources_;
+  observation_path observations_;
   record_path records_;
   std::optional<member_discovery> member_discovery_;
   std::optional<page_server> peer_server_;
--- a/programs/coltsfootlockd/carried/carried_metrics.cpp
+++ b/programs/coltsfootlockd/carried/carried_metrics.cpp
@@ -31,6 +31,9 @@
   metrics.counter("target_suspicions_total",
                   "Times that a target got no new flows because it did not answer.",
                   static_cast<double>(counters.suspicions));
+  metrics.counter("target_reports_total",
+                  "Reports of lost targets by other daemons that were news.",
+                  static_cast<double>(counters.reported_targets));
   metrics.counter("target_checks_total",
                   "Connections opened to targets to learn whether they are there.",
                   static_cast<double>(counters.checks));
--- a/programs/coltsfootlockd/carried/member_discovery.cpp
+++ b/programs/coltsfootlockd/carried/member_discovery.cpp
@@ -29,8 +29,7 @@
 bool
 member_discovery::has_other_seeds() const
 {
-  return std::any_of(
-    seeds_.begin(), seeds_.end(), [this](const endpoint& seed) { return seed != self_.call_address; });
+  return std::any_of(seeds_.begin(), seeds_.end(), [this](const endpoint& seed) { return seed != self_.call_address; });
 }
 
 void
--- /dev/null
+++ b/programs/coltsfootlockd/carried/observation_path.cpp
@@ -0,0 +1,151 @@
+#include "carried/observation_path.h"
+
+#include <charconv>
+#include <string_view>
+#include <variant>
+
+namespace coltsfootlock {
+
+namespace {
+
+constexpr std::string_view page_path = "/observations";
+constexpr std::size_t max_answer_bytes = 1024;
+constexpr int status_ok = 200;
+constexpr int status_bad_request = 400;
+
+/// Removes the part of `text` up to `separator` and returns it.
+std::string_view
+take_part(std::string_view& text, char separator)
+{
+  const std::size_t end = std::min(text.find(separator), text.size());
+  const std::string_view part = text.substr(0, end);
+  text.remove_prefix(std::min(end + 1, text.size()));
+  return part;
+}
+
+std::optional<std::uint64_t>
+read_number(std::string_view text)
+{
+  std::uint64_t value = 0;
+  const auto [end, status] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (text.empty() || status != std::errc() || end != text.data() + text.size()) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+}
+
+std::string
+observations_request_target(const std::vector<target_observation>& observations)
+{
+  std::string result(page_path);
+  result += "?lost=";
+  for (const target_observation& one : observations) {
+    result += one.target + ":" + std::to_string(one.incarnation) + ":" + std::to_string(one.age.count()) + ",";
+  }
+  return result;
+}
+
+std::optional<std::vector<target_observation>>
+read_observations(const std::string& text)
+{
+  std::vector<target_observation> result;
+  std::string_view rest = text;
+  while (!rest.empty()) {
+    std::string_view item = take_part(rest, ',');
+    const std::string_view target = take_part(item, ':');
+    const auto incarnation = read_number(take_part(item, ':'));
+    const auto age = read_number(item);
+    const auto oldest = static_cast<std::uint64_t>(observation_board::max_age.count());
+    if (target.empty() || !incarnation || !age || *age > oldest) {
+      return std::nullopt;
+    }
+    result.push_back({ std::string(target), *incarnation, milliseconds(static_cast<milliseconds::rep>(*age)) });
+  }
+  return result;
+}
+
+observation_path::observation_path(steering_engine& engine)
+  : engine_(engine)
+{
+}
+
+void
+observation_path::add_descriptor(std::vector<pollfd>& wanted) const
+{
+  if (exchange_) {
+    wanted.push_back({ exchange_->descriptor(), exchange_->events(), 0 });
+  }
+}
+
+void
+observation_path::collect(instant now)
+{
+  for (const target_observation& observation : engine_.take_observations()) {
+    board_.add(observation, observation_board::origin::own, now);
+  }
+}
+
+void
+observation_path::on_received(const std::vector<target_observation>& observations,
+                              observation_board::origin from,
+                              instant now)
+{
+  for (const target_observation& observation : observations) {
+    if (board_.add(observation, from, now)) {
+      ++received_;
+      engine_.on_observation(observation, now);
+    }
+  }
+}
+
+void
+observation_path::advance(bool ready, const std::optional<endpoint>& source, instant now)
+{
+  if (exchange_ && exchange_->busy() && (ready || now >= deadline_)) {
+    const auto result = exchange_->advance(now);
+    if (!result) {
+      return;
+    }
+    // A message that failed is sent again, to whichever daemon is followed then, until its observations are too old.
+    const auto* answer = std::get_if<http_answer>(&*result);
+    if (answer != nullptr && answer->status == status_ok) {
+      board_.on_sent(in_transit_);
+    } else {
+      next_message_ = now + timeout;
+    }
+    in_transit_.clear();
+  } else if (exchange_ && ready) {
+    exchange_->advance(now); // The other daemon closed the idle connection.
+  }
+  if ((exchange_ && exchange_->busy()) || !source || now < next_message_) {
+    return;
+  }
+  in_transit_ = board_.unsent(max_per_message, now);
+  if (in_transit_.empty()) {
+    return;
+  }
+  if (!exchange_ || *source != source_) {
+    source_ = *source;
+    exchange_.emplace(source_, max_answer_bytes);
+  }
+  deadline_ = now + timeout;
+  exchange_->get(observations_request_target(in_transit_), deadline_);
+}
+
+void
+observation_path::add_page(page_server& server)
+{
+  server.add_page(std::string(page_path), [this](const page_request& request, instant now) {
+    const auto text = request.query.find("lost");
+    const auto observations = text == request.query.end() ? std::nullopt : read_observations(text->second);
+    if (!observations) {
+      return page{ status_bad_request, "", "text/plain" };
+    }
+    on_received(*observations, observation_board::origin::follower, now);
+    return page{ status_ok, "", "text/plain" };
+  });
+}
+
+}
--- a/programs/coltsfootlockd/carried/peer_pages.cpp
+++ b/programs/coltsfootlockd/carried/peer_pages.cpp
@@ -51,7 +51,7 @@
   const auto age = records.age(now);
   const auto all = age ? encoded.all(records.cache()) : std::nullopt;
   if (all) {
-    return page{ status_ok, encode_response(*all, records.cache().revision(), *age), binary };
+    return page{ status_ok, encode_response(*all, records.cache().revision(), *age, {}), binary };
   }
   const bool waits = records.expects_list() && now - request.arrived < max_list_wait;
   return waits ? std::nullopt : std::optional(page{ status_unavailable, "", "text/plain" });
@@ -59,6 +59,7 @@
 
 std::optional<page>
 watch_page(const record_path& records,
+           const observation_board& observations,
            encoded_changes& encoded,
            milliseconds max_record_age,
            const page_request& request,
@@ -72,6 +73,7 @@
   const pending_watch follower{ *after,
                                 request.arrived,
                                 milliseconds(static_cast<milliseconds::rep>(*wait)),
+                                number_of(request, "observation").value_or(0),
                                 number_of(request, "patient").value_or(0) != 0 };
   const auto age = records.age(now);
   if (!age || !records.cache().complete()) {
@@ -81,7 +83,7 @@
     return waits ? std::nullopt : std::optional(page{ status_unavailable, "", "text/plain" });
   }
   const record_status known{
-    records.cache().revision(), age->records, records.renewed_at(), records.is_renewing(now)
+    records.cache().revision(), age->records, records.renewed_at(), observations.newest(), records.is_renewing(now)
   };
   if (!response_is_due(follower, known, max_record_age, now)) {
     return std::nullopt;
@@ -90,7 +92,10 @@
   if (!changes) {
     return page{ status_gone, "", "text/plain" };
   }
-  return page{ status_ok, encode_response(*changes, records.cache().revision(), *age), binary };
+  return page{ status_ok,
+               encode_response(
+                 *changes, records.cache().revision(), *age, observations.since(follower.observation, now)),
+               binary };
 }
 
 page
@@ -148,20 +153,20 @@
 }
 
 std::string
-request_target(const record_call& call, bool patient)
+request_target(const record_call& call, const watch_options& options)
 {
   struct visitor
   {
-    bool patient;
+    const watch_options& options;
 
     std::string operator()(const list_call&) const { return "/records/list"; }
     std::string operator()(const watch_call& watch) const
     {
       return "/records/watch?after=" + std::to_string(watch.after) + "&wait=" + std::to_string(watch.wait.count()) +
-             (patient ? "&patient=1" : "");
+             "&observation=" + std::to_string(options.observation) + (options.patient ? "&patient=1" : "");
     }
   };
-  return std::visit(visitor{ patient }, call);
+  return std::visit(visitor{ options }, call);
 }
 
 record_response
@@ -186,16 +191,20 @@
 }
 
 void
-add_pages(page_server& server, const record_path& records, source_choice& sources, milliseconds max_record_age)
+add_pages(page_server& server,
+          const record_path& records,
+          const observation_board& observations,
+          source_choice& sources,
+          milliseconds max_record_age)
 {
   const auto encoded = std::make_shared<encoded_changes>();
-  server.add_page("/records/list",
-                  [&records, encoded](const page_request& request, instant now) {
-                    return list_page(records, *encoded, request, now);
-                  });
-  server.add_page("/records/watch", [&records, encoded, max_record_age](const page_request& request, instant now) {
-    return watch_page(records, *encoded, max_record_age, request, now);
+  server.add_page("/records/list", [&records, encoded](const page_request& request, instant now) {
+    return list_page(records, *encoded, request, now);
   });
+  server.add_page("/records/watch",
+                  [&records, &observations, encoded, max_record_age](const page_request& request, instant now) {
+                    return watch_page(records, observations, *encoded, max_record_age, request, now);
+                  });
   server.add_page("/members",
                   [&sources](const page_request& request, instant now) { return members_page(sources, request, now); });
 }
--- a/programs/coltsfootlockd/carried/peer_pages.h
+++ b/programs/coltsfootlockd/carried/peer_pages.h
@@ -11,9 +11,18 @@
 
 namespace coltsfootlock::peer_pages {
 
-/// Returns the path and query of a call to another daemon. `patient`: a watch waits for a renewal of old records.
+/// What a watch of another daemon's records states beyond the call itself.
+struct watch_options
+{
+  std::uint64_t observation = 0; ///< Number of the newest observation of lost targets received from it.
+  bool patient = false;          ///< The watch waits for a renewal of old records.
+
+  auto operator<=>(const watch_options&) const = default;
+};
+
+/// Returns the path and query of a call to another daemon.
 std::string
-request_target(const record_call& call, bool patient);
+request_target(const record_call& call, const watch_options& options);
 
 /// Parses another daemon's response to `call`.
 record_response
@@ -44,6 +53,10 @@
 /// Adds the pages for other daemons: records as a list and as changes, and the members of a domain. `max_record_age`:
 /// if the records are older, watches are answered at once, so that the other daemon can choose another source.
 void
-add_pages(page_server& server, const record_path& records, source_choice& sources, milliseconds max_record_age);
+add_pages(page_server& server,
+          const record_path& records,
+          const observation_board& observations,
+          source_choice& sources,
+          milliseconds max_record_age);
 
 }
--- a/programs/coltsfootlockd/carried/record_path.cpp
+++ b/programs/coltsfootlockd/carried/record_path.cpp
@@ -23,6 +23,7 @@
                          const follower_settings& settings,
                          std::uint32_t seed,
                          source_choice& sources,
+                         observation_path& observations,
                          steering_engine& engine)
   : settings_(settings)
   , store_(store)
@@ -30,6 +31,7 @@
   , peer_exchange_(store, platform::max_response_bytes)
   , follower_(settings, seed)
   , sources_(sources)
+  , observations_(observations)
   , engine_(engine)
   , list_seconds_(call_seconds)
 {
@@ -120,6 +122,7 @@
     return true;
   }
   source_since_ = now;
+  received_observation_ = 0;
   write_log(log_level::info,
             "records",
             "source=" + (wanted ? wanted->id : std::string("store")) +
@@ -146,7 +149,7 @@
   call_deadline_ = now + planned->timeout;
   if (peer_) {
     ++counters_.peer_calls;
-    exchange().get(peer_pages::request_target(call_, patient_), call_deadline_);
+    exchange().get(peer_pages::request_target(call_, { received_observation_, patient_ }), call_deadline_);
     return;
   }
   ++(std::holds_alternative<list_call>(call_) ? counters_.store_lists : counters_.store_watches);
@@ -211,6 +214,10 @@
               "records",
               "history forgotten, lists all records revision=" + std::to_string(follower_.revision()));
   }
+  if (const auto* events = std::get_if<record_events>(&response); events != nullptr && peer_) {
+    received_observation_ = events->lost_targets.newest;
+    observations_.on_received(events->lost_targets.observations, observation_board::origin::source, now);
+  }
   const auto confirmed = follower_.confirmed_at();
   const auto progress = follower_.on_response(std::move(response), now);
   if (follower_.confirmed_at() && (!confirmed || *follower_.confirmed_at() - *confirmed >= min_renewal_interval)) {
--- a/programs/coltsfootlockd/carried/record_path.h
+++ b/programs/coltsfootlockd/carried/record_path.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "carried/observation_path.h"
 #include "carried/time_histogram.h"
 
 #include "coltsfootlock/coordination/steering/record_cache.h"
@@ -37,6 +38,7 @@
               const follower_settings& settings,
               std::uint32_t seed,
               source_choice& sources,
+              observation_path& observations,
               steering_engine& engine);
 
   void add_descriptor(std::vector<pollfd>& wanted) const;
@@ -62,6 +64,9 @@
   /// True if the first list is expected: the store or another daemon has not failed to provide it.
   bool expects_list() const { return !follower_.confirmed_at() && follower_.failures() == 0; }
 
+  /// The daemon whose records are followed; empty if this one reads the store.
+  std::optional<endpoint> followed() const { return peer_ ? std::optional(peer_->call_address) : std::nullopt; }
+
   const record_cache& cache() const { return cache_; }
   std::optional<instant> confirmed_at() const { return follower_.confirmed_at(); }
   const record_counters& counters() const { return counters_; }
@@ -91,13 +96,15 @@
   endpoint store_;
   http_exchange store_exchange_;
   http_exchange peer_exchange_;
-  std::optional<fleet_member> peer_; ///< The daemon that the last call went to; empty for the store.
-  bool patient_ = false;             ///< The last call to it waits for a renewal of its records.
-  instant source_since_;             ///< Start of the first call to the current source.
+  std::optional<fleet_member> peer_;             ///< The daemon that the last call went to; empty for the store.
+  bool patient_ = false;                         ///< The last call to it waits for a renewal of its records.
+  instant source_since_;                         ///< Start of the first call to the current source.
   std::optional<instant> members_awaited_until_; ///< No call is made before, unless members are found.
   record_follower follower_;
   record_cache cache_;
   source_choice& sources_;
+  observation_path& observations_;
+  std::uint64_t received_observation_ = 0; ///< Number of the newest one received from the current source.
   steering_engine& engine_;
   record_call call_;
   instant call_started_;
--- a/programs/coltsfootlockd/tests/test_documentation.cpp
+++ b/programs/coltsfootlockd/tests/test_documentation.cpp
@@ -133,7 +133,8 @@
   steering_engine engine{ steering_settings{} };
   source_choice sources("entry-1", "a");
   const packet_path packets(std::move(*udp_socket::bind({ 0x7f000001, 0 }, why)), engine);
-  const record_path records({ 0x7f000001, 1 }, {}, 1, sources, engine);
+  observation_path observations(engine);
+  const record_path records({ 0x7f000001, 1 }, {}, 1, sources, observations, engine);
   std::set<row> expected;
   for (const auto& family : carried_metric_families(engine, packets, records, 0, true, instant(seconds(1)))) {
     const std::string type = family.type == prometheus::MetricType::Counter     ? "counter"
