Refuse deeply nested messages of other daemons

A response of 1 to 2 MB that consists of nested arrays, a byte each, ended the process: the parser for MessagePack calls itself for each level and exhausts the stack. Any process that reaches the port for calls, or answers in the place of another daemon, could send it.

Ruled out: a smaller limit for the size of a response, since a stack of 8 MB holds some 20,000 levels and lists are larger than that; the parser for JSON text, which keeps its levels in memory.

The test crashed before (memory access violation) and passes now.

--- a/libraries/protocol/relay_codec.cpp
+++ b/libraries/protocol/relay_codec.cpp
@@ -28,10 +28,53 @@
   return bytes;
 }
 
+/// Levels of arrays and maps in a message of another daemon; twice what the largest one has.
+constexpr std::size_t max_nesting = 16;
+
+/// Builds a value, and refuses one with too many levels before the parser, which calls itself for each of them, exhausts
+/// the stack.
+class bounded_builder : public nlohmann::detail::json_sax_dom_parser<json>
+{
+public:
+  explicit bounded_builder(json& result)
+    : json_sax_dom_parser(result, false)
+  {
+  }
+
+  bool start_object(std::size_t size) { return ++levels_ <= max_nesting && json_sax_dom_parser::start_object(size); }
+  bool start_array(std::size_t size) { return ++levels_ <= max_nesting && json_sax_dom_parser::start_array(size); }
+  bool end_object()
+  {
+    --levels_;
+    return json_sax_dom_parser::end_object();
+  }
+  bool end_array()
+  {
+    --levels_;
+    return json_sax_dom_parser::end_array();
+  }
+
+private:
+  std::size_t levels_ = 0;
+};
+
+/// The value of MessagePack bytes; null if they are malformed.
+template<typename Bytes>
+json
+parse_messagepack(const Bytes& bytes)
+{
+  json value;
+  bounded_builder builder(value);
+  if (!json::sax_parse(bytes.begin(), bytes.end(), &builder, json::input_format_t::msgpack, true)) {
+    return nullptr;
+  }
+  return value;
+}
+
 json
 from_bytes(std::string_view bytes, error& why)
 {
-  json value = json::from_msgpack(bytes.begin(), bytes.end(), true, false);
+  json value = parse_messagepack(bytes);
   if (!value.is_object()) {
     why = { error_kind::syntax, "the answer of the other daemon is no MessagePack map" };
   }
@@ -324,7 +367,7 @@
     return false;
   }
   const auto& inner = encoded->get_binary();
-  const json records = json::from_msgpack(inner.begin(), inner.end(), true, false);
+  const json records = parse_messagepack(inner);
   json_fields fields(content, "", why);
   revision = fields.number("revision", 0, max_number);
   age.records = milliseconds(static_cast<milliseconds::rep>(fields.number("age_ms", 0, max_number)));
--- a/libraries/protocol/tests/test_relay_codec.cpp
+++ b/libraries/protocol/tests/test_relay_codec.cpp
@@ -125,4 +125,17 @@
   BOOST_TEST(!why.message.empty());
 }
 
+// A response of nested arrays, a byte each, within the limit for the size of a response. A parser that calls itself for
+// each of them exhausts the stack, which ends the process.
+BOOST_AUTO_TEST_CASE(deeply_nested_responses_are_refused)
+{
+  const std::string nested(2 * 1024 * 1024, '\x91');
+  BOOST_TEST(std::holds_alternative<call_failed>(decode_page(nested)));
+  BOOST_TEST(std::holds_alternative<call_failed>(decode_events(nested)));
+  BOOST_TEST(std::holds_alternative<call_failed>(decode_events(encode_response(nested, 12, {}, {}))));
+  error why;
+  BOOST_TEST(!decode_member_list(nested, why).has_value());
+  BOOST_TEST(!why.message.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
