Reset flows of removed targets only by records that cover their opening

And: a request that acknowledges answers which the caller received earlier, through another daemon, passed for a sign of life of a silent target.

Change: a flow to a removed target is reset if the records are confirmed as of a heartbeat after this daemon first saw it, which shows any return of the target on which the flow could depend; until then its packets are forwarded. Further packets of a flow that was reset are answered with a reset. A request is no sign of life unless this daemon saw the request before it.

Ruled out: a grace period for all removed targets, which delays the resets that callers of lost targets wait for.

--- a/include/coltsfootlock/coordination/steering/carried_flow_table.h
+++ b/include/coltsfootlock/coordination/steering/carried_flow_table.h
@@ -47,7 +47,7 @@
   void erase(const flow_key& key);
 
   /// Erases the flows for which `wanted` returns true.
-  void erase_if(const std::function<bool(const flow_key&, const carried_flow&)>& wanted);
+  void erase_if(const std::function<bool(const flow_key&, carried_flow&)>& wanted);
 
   std::size_t size() const { return flows_.size(); }
 
--- a/include/coltsfootlock/coordination/steering/steering_engine.h
+++ b/include/coltsfootlock/coordination/steering/steering_engine.h
@@ -126,6 +126,7 @@
   void suspect(target_state& target, const char* evidence, instant now);
   bool is_quiet(const target_state& target, instant now) const;
   bool is_gone(const target_state& target, instant now) const;
+  bool was_open_before_removal(const carried_flow& flow) const;
   bool on_silent_check(target_state& target, instant now);
   bool check_is_due(const target_state& target, instant now) const;
   bool records_are_fresh(instant now) const;
--- a/libraries/coordination/steering/carried_flow_table.cpp
+++ b/libraries/coordination/steering/carried_flow_table.cpp
@@ -1,5 +1,7 @@
 #include "coltsfootlock/coordination/steering/carried_flow_table.h"
 
+#include <iterator>
+
 namespace coltsfootlock {
 
 carried_flow*
@@ -31,9 +33,11 @@
 }
 
 void
-carried_flow_table::erase_if(const std::function<bool(const flow_key&, const carried_flow&)>& wanted)
+carried_flow_table::erase_if(const std::function<bool(const flow_key&, carried_flow&)>& wanted)
 {
-  std::erase_if(flows_, [&wanted](const auto& item) { return wanted(item.first, item.second); });
+  for (auto position = flows_.begin(); position != flows_.end();) {
+    position = wanted(position->first, position->second) ? flows_.erase(position) : std::next(position);
+  }
 }
 
 }
--- a/libraries/coordination/steering/open_flow_decisions.cpp
+++ b/libraries/coordination/steering/open_flow_decisions.cpp
@@ -48,11 +48,11 @@
   if (target == nullptr) {
     return drop(why);
   }
-  if (is_gone(*target, now)) {
-    if (const carried_flow* flow = flows_.find(packet.flow)) {
-      release_flow(*flow);
-      flows_.erase(packet.flow);
-    }
+  carried_flow* flow = flows_.find(packet.flow);
+  if (flow != nullptr && is_gone(*target, now) && was_open_before_removal(*flow)) {
+    release_flow(*flow);
+    flow->closing = true; // Kept for a while: the caller may send more packets before it receives the reset.
+    flow->last_packet = now;
     return reset(flow_end_reason::target_gone, packet, target->record.vm.id);
   }
   observe_packet(packet, *target, now);
@@ -89,11 +89,16 @@
     flow->answered = true;
     return;
   }
-  const bool progress = !flow->answered || is_after(packet.acknowledged, flow->acknowledged);
+  const bool acknowledges = !flow->answered || is_after(packet.acknowledged, flow->acknowledged);
+  // A request may acknowledge answers that the caller received long ago, while its packets passed another daemon.
+  const bool may_be_late = flow->answered && !flow->answer_pending && packet.payload_bytes > 0;
+  const bool progress = acknowledges && !may_be_late;
   const bool repeats = !progress && packet.payload_bytes > 0 && !is_after(end, flow->sent_up_to);
   flow->last_packet = now;
-  if (progress) {
+  if (acknowledges) {
     flow->acknowledged = packet.acknowledged;
+  }
+  if (progress) {
     on_target_progress(*flow, target, now);
   }
   if (is_after(end, flow->sent_up_to)) {
--- a/libraries/coordination/steering/target_loss_decisions.cpp
+++ b/libraries/coordination/steering/target_loss_decisions.cpp
@@ -83,6 +83,14 @@
   ++counters_.reported_targets;
 }
 
+/// True if the records, which lack the flow's target, would show one that is back and to which the flow may have been
+/// opened by another daemon. A target publishes its record within a heartbeat of its start.
+bool
+steering_engine::was_open_before_removal(const carried_flow& flow) const
+{
+  return confirmed_at_ && flow.opened + settings_.target_heartbeat <= *confirmed_at_;
+}
+
 /// Load patterns: a target stops answering, or its domain is cut off. Callers whose packets it has acknowledged wait
 /// without sending anything, and its record stays for three heartbeats, which is longer than many callers wait. Only
 /// targets that leave a caller without an answer for longer than usual are checked.
@@ -256,12 +264,12 @@
 {
   const std::vector<restarted_target> restarted_targets = std::exchange(restarted_targets_, {});
   const std::vector<dead_target> dead_targets = std::exchange(dead_targets_, {});
-  flows_.erase_if([&](const flow_key& key, const carried_flow& flow) {
+  flows_.erase_if([&](const flow_key& key, carried_flow& flow) {
     const target_state* target = targets_.find(flow.target);
     if (target == nullptr) {
       return true;
     }
-    const bool gone = is_gone(*target, now);
+    const bool gone = is_gone(*target, now) && was_open_before_removal(flow);
     const bool target_restarted = belongs_to_previous_incarnation(flow, restarted_targets);
     const dead_target* dead = may_reset(key, flow) ? found_dead(flow, *target, dead_targets) : nullptr;
     if (!gone && !target_restarted && dead == nullptr) {
@@ -270,9 +278,10 @@
     const flow_end_reason reason = gone               ? flow_end_reason::target_gone
                                    : target_restarted ? flow_end_reason::target_restarted
                                                       : flow_end_reason::target_dead;
+    const bool was_closing = flow.closing;
     release_flow(flow);
     // A flow that was not established through this daemon may be open at another target through another daemon.
-    if (!flow.closing && flow.answered) {
+    if (!was_closing && flow.answered) {
       ++counters_.resets[static_cast<std::size_t>(reason)];
       const instant judged = gone ? target->phase_since : dead != nullptr ? dead->found : now;
       const reset_evidence evidence{ std::chrono::duration_cast<milliseconds>(now - judged),
@@ -280,7 +289,8 @@
                                      flow.answer_pending };
       resets.push_back({ reason, key, flow.acknowledged, flow.target, evidence });
     }
-    return true;
+    flow.closing = true;
+    return !gone; // Further packets of a flow to a target that is gone are answered with a reset as well.
   });
 }
 
--- a/libraries/transport/page_server.cpp
+++ b/libraries/transport/page_server.cpp
@@ -29,7 +29,7 @@
 constexpr std::size_t longest_path = 512;
 
 /// Connections that wait to be accepted. Beyond it a caller's connection is delayed by a second.
-constexpr int backlog = 2048;
+constexpr int backlog = 512;
 
 struct connection
 {
