Keep the daemon running after an unexpected error

An exception in the handling of one message, page or record ended the daemon, since nothing caught it. Each part of the event loop now runs guarded: the error is counted (unexpected_errors_total), logged, and the other parts go on; a call for records in progress counts as failed. A page that cannot be made is answered with status 500.

--- a/include/coltsfootlock/coordination/steering/record_follower.h
+++ b/include/coltsfootlock/coordination/steering/record_follower.h
@@ -28,6 +28,10 @@
   /// which a change has to be in force (3 s), which leaves time to read the store instead.
   milliseconds max_peer_record_age{ 2200 };
 
+  /// The same for the daemon that takes over from the reader: above the interval between the reader's confirmations,
+  /// and below `max_record_gap`.
+  milliseconds max_successor_record_age{ 1500 };
+
   /// Timeout for a page of a list.
   milliseconds list_timeout{ 1500 };
 
@@ -43,14 +47,22 @@
   /// For this long after an outage of the store, a missing record may be a consequence of the outage.
   milliseconds outage_grace{ 2500 };
 
-  /// If the records were not confirmed for longer than this, the daemon may have missed such an outage or a partition.
-  /// Above the usual interval between confirmations, which is `watch_wait`, and not below two heartbeats of the
-  /// targets, before which no record expires.
+  /// If the records were not confirmed for longer than this, the daemon may have missed such an outage or a partition
+  /// of its domain, unless another daemon of the domain missed nothing. Above the usual interval between confirmations,
+  /// which is `watch_wait`, and not below two heartbeats of the targets, before which no record expires.
   milliseconds max_record_gap{ 1700 };
 
   auto operator<=>(const follower_settings&) const = default;
 };
 
+/// Who responds to a call.
+enum class record_sender : std::uint8_t
+{
+  store,
+  own_domain, ///< A daemon of the own domain.
+  other_domain
+};
+
 /// Follows the platform's records: a full list first, then changes, and a new list if the store no longer has the
 /// changes that follow the last known revision.
 ///
@@ -77,10 +89,9 @@
     milliseconds timeout{ 0 };
   };
 
-  /// The call to make now; empty while a call is in progress or before `next_wakeup`. `from_peer`: the call goes to
-  /// another daemon instead of the store. `patient`: that daemon's records are old, and a watch waits for their
-  /// renewal.
-  std::optional<planned_call> next_call(bool from_peer, bool patient, instant now);
+  /// The call to `receiver` to make now; empty while a call is in progress or before `next_wakeup`. `patient`: the
+  /// receiver's records are old, and a watch waits for their renewal.
+  std::optional<planned_call> next_call(record_sender receiver, bool patient, instant now);
 
   instant next_wakeup() const { return next_wakeup_; }
 
@@ -135,7 +146,7 @@
   follower_settings settings_;
   std::minstd_rand random_;
   bool calling_ = false;
-  bool from_peer_ = false;
+  record_sender sender_ = record_sender::store;
   bool listing_ = true;
   bool list_is_old_ = false; ///< The pages of the current or last list may be old.
   std::string list_after_;
--- a/include/coltsfootlock/coordination/steering/source_choice.h
+++ b/include/coltsfootlock/coordination/steering/source_choice.h
@@ -39,11 +39,19 @@
   auto operator<=>(const read_store&) const = default;
 };
 
-/// Follow another daemon. `patient`: it is to respond when its records are renewed, even if they are old.
+/// How old the records of a source may become before its follower chooses another one.
+enum class age_tolerance : std::uint8_t
+{
+  short_time, ///< For the daemon that takes over from the reader, before the records of the others are too old.
+  usual,
+  unlimited ///< There is no better source.
+};
+
+/// Follow another daemon.
 struct follow_member
 {
   fleet_member member;
-  bool patient = false;
+  age_tolerance tolerance = age_tolerance::usual;
 
   auto operator<=>(const follow_member&) const = default;
 };
@@ -82,6 +90,9 @@
 /// Load pattern: all daemons start at once, or many join. Each asks a seed for members before its first call, and reads
 /// the store only if it has the highest rank of those that are known, or if no seed answers.
 ///
+/// Load pattern: a reader falls silent, or the store refuses it without an answer. The daemon of the next rank takes
+/// over early, so that the records of the others do not become so old that removed targets get a grace period.
+///
 /// Load pattern: the store is away for all. Records age everywhere at the same time, and no source is better than
 /// another. After `min_old_sources` sources in a row with old records, a daemon assumes such an outage: the members
 /// with the highest ranks go on reading the store, and the others stay with one of them. They still read the store in
@@ -126,7 +137,10 @@
   member_list member_list_for(const std::string& domain, instant now) const;
 
   /// A first call waits this long for a seed's response.
-  static constexpr milliseconds max_member_wait{ 400 };
+  static constexpr milliseconds max_member_wait{ 200 };
+
+  /// A seed that has not answered a daemon's first request by then may still be starting; the next one is asked.
+  static constexpr milliseconds first_seed_timeout{ 80 };
 
   /// Delay before the next seed is asked if none has answered yet.
   static constexpr milliseconds seed_retry_delay{ 50 };
@@ -180,6 +194,12 @@
   /// True while an outage of the store for all daemons is assumed.
   bool in_outage() const { return next_probe_.has_value(); }
 
+  /// True soon after the start, until the first member list has been received.
+  bool awaits_first_list(instant now) const
+  {
+    return members_awaited_until_ && now < *members_awaited_until_ + initial_discovery_interval;
+  }
+
   /// True if the next registration with a seed is due.
   bool discovery_due(instant now) const { return now >= next_discovery_; }
   void on_discovery_started(instant now);
@@ -209,6 +229,7 @@
   const member_state* best_member(bool own_domain, instant now) const;
   std::vector<const member_state*> by_rank(instant now) const;
   const member_state* relay(const member_state& reader, instant now) const;
+  bool is_successor(instant now) const;
   record_source choose_during_outage(const store_condition& store, instant now);
   duration probe_delay(double share, instant now) const;
 
--- a/include/coltsfootlock/coordination/steering/watch_response.h
+++ b/include/coltsfootlock/coordination/steering/watch_response.h
@@ -14,7 +14,7 @@
   instant requested_at;
   milliseconds max_wait{ 0 };
   std::uint64_t observation = 0; ///< The follower has the observations up to this number.
-  bool patient = false;          ///< The follower has no better source and waits for a renewal of old records.
+  milliseconds max_age{ 0 };     ///< If the records are older, the follower chooses another source.
 
   auto operator<=>(const pending_watch&) const = default;
 };
@@ -32,15 +32,15 @@
 };
 
 /// True if the watch is to be answered now: there are changes, its maximum wait has passed, the records are older than
-/// `max_age`, so that the follower has to choose another source, or they were confirmed after the request. The last
+/// the follower accepts, or they were confirmed after the request. The last
 /// condition keeps the age of the records from growing with each relay between the store and the follower. New
 /// observations of lost targets are sent at once as well.
 ///
-/// Load pattern: the reader of a domain falls silent, and the records of all its followers reach `max_age` together. If
+/// Load pattern: the reader of a domain falls silent, and the records of all its followers become too old together. If
 /// the next reader reported its old records while it makes its first call to the store, all others would read the store
 /// as well.
 bool
-response_is_due(const pending_watch& follower, const record_status& records, milliseconds max_age, instant now);
+response_is_due(const pending_watch& follower, const record_status& records, instant now);
 
 /// How long a call to a new source may take while watches of old records wait for its response.
 inline constexpr milliseconds max_renewal_time{ 200 };
--- a/include/coltsfootlock/state/record_call.h
+++ b/include/coltsfootlock/state/record_call.h
@@ -59,7 +59,7 @@
   std::vector<record_change> changes; ///< Empty if nothing changed during the wait.
   std::uint64_t store_revision = 0;
   response_age age;
-  observation_list lost_targets; ///< Empty if the sender is the store.
+  observation_list lost_targets{}; ///< Empty if the sender is the store.
 
   bool operator==(const record_events&) const = default;
 };
--- a/libraries/coordination/steering/record_follower.cpp
+++ b/libraries/coordination/steering/record_follower.cpp
@@ -30,16 +30,17 @@
 }
 
 std::optional<record_follower::planned_call>
-record_follower::next_call(bool from_peer, bool patient, instant now)
+record_follower::next_call(record_sender receiver, bool patient, instant now)
 {
+  const bool from_peer = receiver != record_sender::store;
   if (calling_ || (!from_peer && now < next_wakeup_)) {
     return std::nullopt;
   }
-  if (from_peer != from_peer_) {
+  if (from_peer != (sender_ != record_sender::store)) {
     list_after_.clear(); // Pages of different senders cannot be combined.
   }
   calling_ = true;
-  from_peer_ = from_peer;
+  sender_ = receiver;
   if (!from_peer) {
     consume_call_budget(now);
   }
@@ -62,7 +63,7 @@
   if (old && !patient) {
     return milliseconds(0);
   }
-  return from_peer_ ? settings_.peer_wait : settings_.watch_wait;
+  return sender_ != record_sender::store ? settings_.peer_wait : settings_.watch_wait;
 }
 
 record_follower::progress
@@ -75,25 +76,26 @@
 void
 record_follower::on_call_success(progress& result, const response_age& age, instant now)
 {
-  if (!from_peer_ && failures_ > 0) {
+  if (sender_ == record_sender::store && failures_ > 0) {
     result.regained = true;
     outage_grace_end_ = now + settings_.outage_grace;
   }
   if (missed_an_outage(age, now)) {
     outage_grace_end_ = now + settings_.outage_grace;
   }
-  if (!from_peer_) {
+  if (sender_ == record_sender::store) {
     failures_ = 0;
   }
   outage_grace_end_ = std::max(outage_grace_end_, now + age.outage_grace_left);
 }
 
-/// True if the records of the response are much newer than the last ones. Its sender need not have been affected by
-/// what kept this daemon from them.
+/// True if the records of the response are much newer than the last ones, and what kept this daemon from them may have
+/// kept the targets of its domain from the store: the sender is elsewhere and need not have been affected.
 bool
 record_follower::missed_an_outage(const response_age& age, instant now) const
 {
-  return confirmed_at_ && now - age.records - *confirmed_at_ > settings_.max_record_gap;
+  return sender_ != record_sender::own_domain && confirmed_at_ &&
+         now - age.records - *confirmed_at_ > settings_.max_record_gap;
 }
 
 void
--- a/libraries/coordination/steering/source_choice.cpp
+++ b/libraries/coordination/steering/source_choice.cpp
@@ -180,7 +180,22 @@
   if (!wanted && store.failing) {
     wanted = fallback(now);
   }
-  return wanted ? record_source(follow_member{ std::move(*wanted), false }) : record_source(read_store{});
+  if (!wanted) {
+    return read_store{};
+  }
+  return follow_member{ std::move(*wanted), is_successor(now) ? age_tolerance::short_time : age_tolerance::usual };
+}
+
+/// True if only one available member of the domain has a higher rank than this daemon.
+bool
+source_choice::is_successor(instant now) const
+{
+  const auto higher = std::count_if(members_.begin(), members_.end(), [this, now](const auto& item) {
+    const member_state& state = item.second;
+    return state.member.domain == domain_ && state.rank > self_rank_ && state.excluded_until <= now &&
+           now - state.last_seen <= member_lifetime;
+  });
+  return higher == 1;
 }
 
 record_source
@@ -204,7 +219,7 @@
     next_probe_ = now + probe_delay(1, now);
     return read_store{};
   }
-  return follow_member{ best->member, true };
+  return follow_member{ best->member, age_tolerance::unlimited };
 }
 
 /// `share` of the time in which each daemon of the domain reads the store once.
@@ -274,7 +289,7 @@
 void
 source_choice::on_discovery_failed(instant now)
 {
-  if (members_awaited_until_) {
+  if (awaits_first_list(now)) {
     next_discovery_ = now + seed_retry_delay;
   }
 }
--- a/libraries/coordination/steering/tests/test_record_follower.cpp
+++ b/libraries/coordination/steering/tests/test_record_follower.cpp
@@ -14,7 +14,7 @@
 
   record_call call()
   {
-    const auto planned = follower.next_call(false, false, now);
+    const auto planned = follower.next_call(record_sender::store, false, now);
     BOOST_REQUIRE(planned.has_value());
     return planned->call;
   }
@@ -85,7 +85,7 @@
   BOOST_TEST((std::get<list_call>(call()) == list_call{ "k", true }));
   follower.on_response(record_page{ {}, 60, "m", true, {} }, now);
   BOOST_TEST(follower.listing_in_progress());
-  const auto from_peer = follower.next_call(true, false, now);
+  const auto from_peer = follower.next_call(record_sender::other_domain, false, now);
   BOOST_TEST((std::get<list_call>(from_peer->call) == list_call{ "" }));
 }
 
@@ -138,7 +138,7 @@
 BOOST_AUTO_TEST_CASE(records_removed_during_a_partition_have_a_grace_period_for_those_who_learn_of_it_later)
 {
   const auto events_from_peer = [this](std::uint64_t revision, milliseconds age) {
-    BOOST_REQUIRE(follower.next_call(true, false, now).has_value());
+    BOOST_REQUIRE(follower.next_call(record_sender::other_domain, false, now).has_value());
     follower.on_response(record_events{ {}, revision, { age, milliseconds(0) } }, now);
   };
   list(50);
@@ -148,7 +148,7 @@
   now += milliseconds(1300);
   events_from_peer(51, milliseconds(1400)); // The source is cut off as well.
   now += milliseconds(3000);
-  BOOST_REQUIRE(follower.next_call(true, false, now).has_value());
+  BOOST_REQUIRE(follower.next_call(record_sender::other_domain, false, now).has_value());
   follower.on_peer_failure();
   BOOST_TEST((follower.outage_grace_end() <= now));
   events_from_peer(90, milliseconds(100));
@@ -237,8 +237,23 @@
   now += settings.max_peer_record_age + milliseconds(1);
   BOOST_TEST((std::get<watch_call>(call()) == watch_call{ 50, milliseconds(0) }));
   follower.on_peer_failure();
-  const auto patient = follower.next_call(true, true, now);
+  const auto patient = follower.next_call(record_sender::other_domain, true, now);
   BOOST_TEST((std::get<watch_call>(patient->call) == watch_call{ 50, settings.peer_wait }));
 }
 
+// Load pattern: the store refuses a reader, and its followers move to another daemon of the domain, which was served
+// all the time. The targets of the domain could reach the store as well, so their removed records mean what they say.
+BOOST_AUTO_TEST_CASE(a_gap_that_another_daemon_of_the_domain_did_not_have_is_no_outage)
+{
+  list(50);
+  now += settings.max_record_gap + milliseconds(500);
+  BOOST_REQUIRE(follower.next_call(record_sender::own_domain, false, now).has_value());
+  follower.on_response(record_events{ {}, 60, { milliseconds(100), milliseconds(0) } }, now);
+  BOOST_TEST((follower.outage_grace_end() <= now));
+  now += settings.max_record_gap + milliseconds(500);
+  BOOST_REQUIRE(follower.next_call(record_sender::own_domain, false, now).has_value());
+  follower.on_response(record_events{ {}, 60, { milliseconds(100), milliseconds(900) } }, now);
+  BOOST_TEST((follower.outage_grace_end() == now + milliseconds(900)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libraries/coordination/steering/tests/test_source_outages.cpp
+++ b/libraries/coordination/steering/tests/test_source_outages.cpp
@@ -89,7 +89,7 @@
 
   void call_member(daemon_model& daemon, const follow_member& source)
   {
-    daemon.idle_at = now + (source.patient ? settings.peer_wait : step);
+    daemon.idle_at = now + (source.tolerance == age_tolerance::unlimited ? settings.peer_wait : step);
     const instant confirmed = find(source.member.id).confirmed;
     daemon.confirmed = std::max(daemon.confirmed, confirmed);
     if (now - confirmed > settings.max_peer_record_age) {
@@ -199,7 +199,7 @@
   fleet_member fast = member(2);
   fast.link_kbps = 200000;
   daemon.on_member_list({ { fast }, 2 }, now);
-  BOOST_TEST((daemon.choose(callable, now) == record_source(follow_member{ fast, false })));
+  BOOST_TEST((daemon.choose(callable, now) == record_source(follow_member{ fast, age_tolerance::short_time })));
 }
 
 BOOST_AUTO_TEST_CASE(a_daemon_reads_the_store_if_no_seed_answers)
@@ -210,4 +210,17 @@
   BOOST_TEST(std::holds_alternative<read_store>(daemon.choose({}, now + source_choice::max_member_wait)));
 }
 
+// Load pattern: a reader falls silent. Only its successor leaves it early, so that the store gets one more reader.
+BOOST_AUTO_TEST_CASE(one_daemon_leaves_a_silent_reader_before_the_others)
+{
+  domain_model domain;
+  int successors = 0;
+  for (const daemon_model& daemon : domain.daemons) {
+    const record_source source = daemon.sources->choose({}, domain.now);
+    const auto* followed = std::get_if<follow_member>(&source);
+    successors += followed != nullptr && followed->tolerance == age_tolerance::short_time ? 1 : 0;
+  }
+  BOOST_TEST(successors == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libraries/protocol/relay_codec.cpp
+++ b/libraries/protocol/relay_codec.cpp
@@ -31,8 +31,8 @@
 /// Levels of arrays and maps in a message of another daemon; twice what the largest one has.
 constexpr std::size_t max_nesting = 16;
 
-/// Builds a value, and refuses one with too many levels before the parser, which calls itself for each of them, exhausts
-/// the stack.
+/// Builds a value, and refuses one with too many levels before the parser, which calls itself for each of them,
+/// exhausts the stack.
 class bounded_builder : public nlohmann::detail::json_sax_dom_parser<json>
 {
 public:
--- a/libraries/transport/page_server.cpp
+++ b/libraries/transport/page_server.cpp
@@ -1,5 +1,6 @@
 #include "coltsfootlock/transport/page_server.h"
 
+#include "coltsfootlock/transport/log.h"
 #include "socket_address.h"
 #include "tcp_stream.h"
 
@@ -7,6 +8,7 @@
 #include <array>
 #include <cerrno>
 #include <cstring>
+#include <exception>
 #include <list>
 #include <utility>
 
@@ -110,6 +112,18 @@
          (keep_alive ? "" : "\r\nConnection: close") + "\r\n\r\n" + content.body;
 }
 
+/// An error in the making of a page ends neither the process nor the other connections.
+std::optional<page>
+make_page(const page_server::handler& make, const page_request& request, instant now)
+{
+  try {
+    return make(request, now);
+  } catch (const std::exception& problem) {
+    write_log(log_level::error, "pages", std::string("unexpected error reason=\"") + problem.what() + "\"");
+    return page{ HTTP_STATUS_INTERNAL_SERVER_ERROR, "", "text/plain" };
+  }
+}
+
 }
 
 struct page_server::implementation
@@ -238,7 +252,7 @@
 bool
 page_server::implementation::answer(connection& caller, instant now)
 {
-  auto content = caller.waiting(caller.request, now);
+  const auto content = make_page(caller.waiting, caller.request, now);
   if (!content) {
     return true;
   }
--- a/libraries/transport/tests/test_polled_http.cpp
+++ b/libraries/transport/tests/test_polled_http.cpp
@@ -5,6 +5,8 @@
 #include "coltsfootlock/transport/udp_socket.h"
 #include "waiting_lines.h"
 
+#include <stdexcept>
+
 #include <unistd.h>
 
 #include <boost/test/unit_test.hpp>
@@ -29,6 +31,9 @@
       return page{ 200, found == request.query.end() ? "none" : found->second, "text/plain" };
     });
     server.add_page("/large", [](const page_request&, instant) { return page{ 200, std::string(2000, 'x'), "" }; });
+    server.add_page("/broken", [](const page_request&, instant) -> std::optional<page> {
+      throw std::runtime_error("cannot make the page");
+    });
     server.add_page("/wait", [this](const page_request&, instant) { return waiting_page; });
   }
 
@@ -151,4 +156,11 @@
   ::close(ends[1]);
 }
 
+// An unexpected error on a single request must not end the process.
+BOOST_AUTO_TEST_CASE(an_error_in_the_making_of_a_page_is_an_answer)
+{
+  BOOST_TEST(get("/broken").status == 500);
+  BOOST_TEST(get("/echo?text=next").body == "next");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/programs/coltsfootlockd/carried/carried_daemon.cpp
+++ b/programs/coltsfootlockd/carried/carried_daemon.cpp
@@ -68,7 +68,8 @@
   , packets_(std::move(socket), engine_)
   , sources_(settings.steering.self, settings.steering.domain, link_kbps(settings))
   , observations_(engine_)
-  , records_(settings.platform,
+  , records_(settings.steering.domain,
+             settings.platform,
              settings.follower,
              static_cast<std::uint32_t>(hash_text(settings.steering.self)),
              sources_,
@@ -86,7 +87,7 @@
   metrics_server_->add_page("/metrics", [this](const page_request&, instant) {
     const std::uint64_t sent = peer_server_ ? peer_server_->sent_bytes() : 0;
     return page{ 200,
-                 carried_metrics(engine_, packets_, records_, sent, is_ready(), now_),
+                 carried_metrics(engine_, packets_, records_, sent, guard_.errors(), is_ready(), now_),
                  "text/plain; version=0.0.4" };
   });
 }
@@ -95,8 +96,7 @@
 carried_daemon::serve_peers(const endpoint& call_address, page_server server)
 {
   peer_server_ = std::move(server);
-  peer_pages::add_pages(
-    *peer_server_, records_, observations_.board(), sources_, settings_.follower.max_peer_record_age);
+  peer_pages::add_pages(*peer_server_, records_, observations_.board(), sources_);
   observations_.add_page(*peer_server_);
   member_discovery_.emplace(
     fleet_member{ settings_.steering.self, settings_.steering.domain, call_address, link_kbps(settings_) },
@@ -200,15 +200,21 @@
   // After a pause, the results of poll() may be out of date, so the socket is read in any case.
   const bool takes_packets = groups.records > 0;
   if (takes_packets && (engine_.has_backlog() || any_ready(group(0, groups.records)))) {
-    packets_.advance(records_.confirmed_at(), now_);
+    guard_.run("flow", [this] { packets_.advance(records_.confirmed_at(), now_); });
   }
   const std::uint64_t revision = records_.cache().revision();
   const instant renewed_at = records_.renewed_at();
   if (member_discovery_) { // First, since a daemon that starts waits for members before it reads records.
-    member_discovery_->advance(any_ready(group(groups.member_discovery, groups.observations)), now_);
+    const bool ready = any_ready(group(groups.member_discovery, groups.observations));
+    guard_.run("members", [this, ready] { member_discovery_->advance(ready, now_); });
   }
-  records_.advance(any_ready(group(groups.records, groups.member_discovery)), now_);
-  observations_.advance(any_ready(group(groups.observations, groups.checks)), records_.followed(), now_);
+  const bool records_ready = any_ready(group(groups.records, groups.member_discovery));
+  if (!guard_.run("records", [this, records_ready] { records_.advance(records_ready, now_); })) {
+    records_.abandon_call(now_);
+  }
+  const bool observations_ready = any_ready(group(groups.observations, groups.checks));
+  guard_.run("observations",
+             [this, observations_ready] { observations_.advance(observations_ready, records_.followed(), now_); });
   for (const check_result& check : checks_.advance(group(groups.checks, groups.ready), now_)) {
     engine_.on_check(check.target, check.outcome, now_);
   }
@@ -216,7 +222,7 @@
   const bool tick_due = now_ >= next_tick_;
   const auto serve = [this, tick_due](page_server& server, std::span<const pollfd> waited, bool records_changed) {
     if (tick_due || records_changed || any_ready(waited)) {
-      server.advance(waited, now_);
+      guard_.run("pages", [&server, waited, this] { server.advance(waited, now_); });
     }
   };
   serve(ready_server_, group(groups.ready, groups.metrics), false);
@@ -333,7 +339,7 @@
     const poll_groups groups = collect_descriptors();
     wait();
     handle_events(groups);
-    run_duties(now_);
+    guard_.run("daemon", [this] { run_duties(now_); });
   }
   write_log(log_level::info, "daemon", "left");
 }
--- a/programs/coltsfootlockd/carried/carried_daemon.h
+++ b/programs/coltsfootlockd/carried/carried_daemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "carried/carried_settings.h"
+#include "carried/exception_guard.h"
 #include "carried/member_discovery.h"
 #include "carried/packet_path.h"
 #include "carried/record_path.h"
@@ -73,6 +74,7 @@
   page_server ready_server_;
   std::optional<page_server> metrics_server_;
   std::vector<pollfd> descriptors_;
+  exception_guard guard_;
   instant now_;
   instant started_;
   instant next_tick_;
--- a/programs/coltsfootlockd/carried/carried_metrics.cpp
+++ b/programs/coltsfootlockd/carried/carried_metrics.cpp
@@ -82,6 +82,7 @@
                         const packet_path& packets,
                         const record_path& records,
                         std::uint64_t sent_record_bytes,
+                        std::uint64_t unexpected_errors,
                         bool ready,
                         instant now)
 {
@@ -90,6 +91,9 @@
   add_records(records, now, metrics);
   metrics.counter(
     "record_bytes_sent_total", "Bytes of answers sent to other daemons.", static_cast<double>(sent_record_bytes));
+  metrics.counter("unexpected_errors_total",
+                  "Errors that ended the handling of an event; each has a line in the log.",
+                  static_cast<double>(unexpected_errors));
   metrics.gauge("ready", "1 while the daemon asks for traffic.", ready ? 1 : 0);
   metrics.counter(
     "packets_malformed_total", "Datagrams that are no packet.", static_cast<double>(packets.counters().malformed));
@@ -109,10 +113,12 @@
                 const packet_path& packets,
                 const record_path& records,
                 std::uint64_t sent_record_bytes,
+                std::uint64_t unexpected_errors,
                 bool ready,
                 instant now)
 {
-  return metrics_text(carried_metric_families(engine, packets, records, sent_record_bytes, ready, now));
+  return metrics_text(
+    carried_metric_families(engine, packets, records, sent_record_bytes, unexpected_errors, ready, now));
 }
 
 }
--- a/programs/coltsfootlockd/carried/carried_metrics.h
+++ b/programs/coltsfootlockd/carried/carried_metrics.h
@@ -17,6 +17,7 @@
                         const packet_path& packets,
                         const record_path& records,
                         std::uint64_t sent_record_bytes,
+                        std::uint64_t unexpected_errors,
                         bool ready,
                         instant now);
 
@@ -26,6 +27,7 @@
                 const packet_path& packets,
                 const record_path& records,
                 std::uint64_t sent_record_bytes,
+                std::uint64_t unexpected_errors,
                 bool ready,
                 instant now);
 
--- a/programs/coltsfootlockd/carried/member_discovery.cpp
+++ b/programs/coltsfootlockd/carried/member_discovery.cpp
@@ -70,7 +70,7 @@
   for (std::size_t tried = 0; tried < seeds_.size(); ++tried) {
     current_seed_ = seeds_[next_seed_++ % seeds_.size()];
     if (current_seed_ != self_.call_address) {
-      deadline_ = now + timeout;
+      deadline_ = now + (sources_.awaits_first_list(now) ? source_choice::first_seed_timeout : timeout);
       // Each exchange uses a new connection: exchanges are rare, and a seed should not hold a connection per daemon.
       exchange_.emplace(current_seed_, max_list_bytes);
       exchange_->get(peer_pages::member_list_request_target(self_), deadline_);
--- a/programs/coltsfootlockd/carried/peer_pages.cpp
+++ b/programs/coltsfootlockd/carried/peer_pages.cpp
@@ -19,6 +19,7 @@
 constexpr int status_unavailable = 503;
 constexpr const char* binary = "application/msgpack";
 constexpr std::uint64_t max_wait_ms = 30000;
+constexpr std::uint64_t max_max_age_ms = 1000ULL * 3600 * 24;
 constexpr std::uint64_t max_link_kbps = std::numeric_limits<std::uint32_t>::max();
 
 std::optional<std::uint64_t>
@@ -61,20 +62,20 @@
 watch_page(const record_path& records,
            const observation_board& observations,
            encoded_changes& encoded,
-           milliseconds max_record_age,
            const page_request& request,
            instant now)
 {
   const auto after = number_of(request, "after");
   const auto wait = number_of(request, "wait");
-  if (!after || !wait || *wait > max_wait_ms) {
+  const auto max_age = number_of(request, "max_age");
+  if (!after || !wait || *wait > max_wait_ms || !max_age || *max_age > max_max_age_ms) {
     return page{ status_bad_request, "", "text/plain" };
   }
   const pending_watch follower{ *after,
                                 request.arrived,
                                 milliseconds(static_cast<milliseconds::rep>(*wait)),
                                 number_of(request, "observation").value_or(0),
-                                number_of(request, "patient").value_or(0) != 0 };
+                                milliseconds(static_cast<milliseconds::rep>(*max_age)) };
   const auto age = records.age(now);
   if (!age || !records.cache().complete()) {
     // All daemons of a domain may have started together, and this one may complete its list a little later than its
@@ -85,7 +86,7 @@
   const record_status known{
     records.cache().revision(), age->records, records.renewed_at(), observations.newest(), records.is_renewing(now)
   };
-  if (!response_is_due(follower, known, max_record_age, now)) {
+  if (!response_is_due(follower, known, now)) {
     return std::nullopt;
   }
   const auto changes = encoded.since(records.cache(), *after);
@@ -163,7 +164,8 @@
     std::string operator()(const watch_call& watch) const
     {
       return "/records/watch?after=" + std::to_string(watch.after) + "&wait=" + std::to_string(watch.wait.count()) +
-             "&observation=" + std::to_string(options.observation) + (options.patient ? "&patient=1" : "");
+             "&observation=" + std::to_string(options.observation) +
+             "&max_age=" + std::to_string(options.max_age.count());
     }
   };
   return std::visit(visitor{ options }, call);
@@ -194,17 +196,15 @@
 add_pages(page_server& server,
           const record_path& records,
           const observation_board& observations,
-          source_choice& sources,
-          milliseconds max_record_age)
+          source_choice& sources)
 {
   const auto encoded = std::make_shared<encoded_changes>();
   server.add_page("/records/list", [&records, encoded](const page_request& request, instant now) {
     return list_page(records, *encoded, request, now);
   });
-  server.add_page("/records/watch",
-                  [&records, &observations, encoded, max_record_age](const page_request& request, instant now) {
-                    return watch_page(records, observations, *encoded, max_record_age, request, now);
-                  });
+  server.add_page("/records/watch", [&records, &observations, encoded](const page_request& request, instant now) {
+    return watch_page(records, observations, *encoded, request, now);
+  });
   server.add_page("/members",
                   [&sources](const page_request& request, instant now) { return members_page(sources, request, now); });
 }
--- a/programs/coltsfootlockd/carried/peer_pages.h
+++ b/programs/coltsfootlockd/carried/peer_pages.h
@@ -15,7 +15,7 @@
 struct watch_options
 {
   std::uint64_t observation = 0; ///< Number of the newest observation of lost targets received from it.
-  bool patient = false;          ///< The watch waits for a renewal of old records.
+  milliseconds max_age{ 0 };     ///< If the other daemon's records are older, it is to respond at once.
 
   auto operator<=>(const watch_options&) const = default;
 };
@@ -50,13 +50,11 @@
   std::map<std::uint64_t, std::string> since_; ///< By the follower's revision.
 };
 
-/// Adds the pages for other daemons: records as a list and as changes, and the members of a domain. `max_record_age`:
-/// if the records are older, watches are answered at once, so that the other daemon can choose another source.
+/// Adds the pages for other daemons: records as a list and as changes, and the members of a domain.
 void
 add_pages(page_server& server,
           const record_path& records,
           const observation_board& observations,
-          source_choice& sources,
-          milliseconds max_record_age);
+          source_choice& sources);
 
 }
--- a/programs/coltsfootlockd/carried/record_path.cpp
+++ b/programs/coltsfootlockd/carried/record_path.cpp
@@ -19,13 +19,15 @@
 
 }
 
-record_path::record_path(const endpoint& store,
+record_path::record_path(std::string domain,
+                         const endpoint& store,
                          const follower_settings& settings,
                          std::uint32_t seed,
                          source_choice& sources,
                          observation_path& observations,
                          steering_engine& engine)
-  : settings_(settings)
+  : domain_(std::move(domain))
+  , settings_(settings)
   , store_(store)
   , store_exchange_(store, platform::max_response_bytes)
   , peer_exchange_(store, platform::max_response_bytes)
@@ -76,6 +78,18 @@
                        std::max(std::chrono::ceil<milliseconds>(follower_.outage_grace_end() - now), milliseconds(0)) };
 }
 
+void
+record_path::abandon_call(instant now)
+{
+  const call_failed unexpected{ { error_kind::unavailable, "an unexpected error, see the log before" } };
+  if (peer_) {
+    peer_exchange_ = http_exchange(peer_->call_address, platform::max_response_bytes);
+  } else {
+    store_exchange_ = http_exchange(store_, platform::max_response_bytes);
+  }
+  on_response(unexpected, now);
+}
+
 void
 record_path::advance(bool ready, instant now)
 {
@@ -116,7 +130,7 @@
     return false;
   }
   const auto* followed = std::get_if<follow_member>(&source);
-  patient_ = followed != nullptr && followed->patient;
+  tolerance_ = followed != nullptr ? followed->tolerance : age_tolerance::usual;
   std::optional<fleet_member> wanted = followed != nullptr ? std::optional(followed->member) : std::nullopt;
   if (wanted == peer_) {
     return true;
@@ -134,13 +148,37 @@
   return true;
 }
 
+record_sender
+record_path::receiver() const
+{
+  if (!peer_) {
+    return record_sender::store;
+  }
+  return peer_->domain == domain_ ? record_sender::own_domain : record_sender::other_domain;
+}
+
+/// Maximum age of the records of the daemon that is followed.
+milliseconds
+record_path::max_record_age() const
+{
+  switch (tolerance_) {
+    case age_tolerance::short_time:
+      return settings_.max_successor_record_age;
+    case age_tolerance::usual:
+      return settings_.max_peer_record_age;
+    case age_tolerance::unlimited:
+      break;
+  }
+  return std::chrono::hours(24);
+}
+
 void
 record_path::start_call(instant now)
 {
   if (!choose_source(now)) {
     return;
   }
-  const auto planned = follower_.next_call(peer_.has_value(), patient_, now);
+  const auto planned = follower_.next_call(receiver(), tolerance_ == age_tolerance::unlimited, now);
   if (!planned) {
     return;
   }
@@ -149,7 +187,7 @@
   call_deadline_ = now + planned->timeout;
   if (peer_) {
     ++counters_.peer_calls;
-    exchange().get(peer_pages::request_target(call_, { received_observation_, patient_ }), call_deadline_);
+    exchange().get(peer_pages::request_target(call_, { received_observation_, max_record_age() }), call_deadline_);
     return;
   }
   ++(std::holds_alternative<list_call>(call_) ? counters_.store_lists : counters_.store_watches);
@@ -240,7 +278,7 @@
     return;
   }
   const auto records_age = age(now);
-  if (records_age && records_age->records > settings_.max_peer_record_age) {
+  if (records_age && records_age->records > max_record_age()) {
     on_old_records(records_age->records, now);
   } else {
     sources_.on_success(peer_->id);
--- a/programs/coltsfootlockd/carried/record_path.h
+++ b/programs/coltsfootlockd/carried/record_path.h
@@ -34,7 +34,9 @@
 class record_path
 {
 public:
-  record_path(const endpoint& store,
+  /// `domain`: this daemon's failure domain.
+  record_path(std::string domain,
+              const endpoint& store,
               const follower_settings& settings,
               std::uint32_t seed,
               source_choice& sources,
@@ -46,6 +48,9 @@
   /// Starts a due call and handles a response or a timeout. `ready`: the descriptor is ready.
   void advance(bool ready, instant now);
 
+  /// Ends the call in progress as failed after an unexpected error.
+  void abandon_call(instant now);
+
   /// When `advance` is to be called even if the descriptor is not ready.
   instant next_wakeup() const;
 
@@ -85,6 +90,8 @@
   http_exchange& exchange() { return peer_ ? peer_exchange_ : store_exchange_; }
   const http_exchange& exchange() const { return peer_ ? peer_exchange_ : store_exchange_; }
   bool choose_source(instant now);
+  record_sender receiver() const;
+  milliseconds max_record_age() const;
   void start_call(instant now);
   record_response read_response(const http_answer& response) const;
   void on_response(record_response response, instant now);
@@ -92,12 +99,13 @@
   void on_old_records(milliseconds records_age, instant now);
   void apply(const record_follower::progress& progress, instant now);
 
+  const std::string domain_;
   const follower_settings settings_;
   endpoint store_;
   http_exchange store_exchange_;
   http_exchange peer_exchange_;
-  std::optional<fleet_member> peer_;             ///< The daemon that the last call went to; empty for the store.
-  bool patient_ = false;                         ///< The last call to it waits for a renewal of its records.
+  std::optional<fleet_member> peer_; ///< The daemon that the last call went to; empty for the store.
+  age_tolerance tolerance_ = age_tolerance::usual;
   instant source_since_;                         ///< Start of the first call to the current source.
   std::optional<instant> members_awaited_until_; ///< No call is made before, unless members are found.
   record_follower follower_;
--- a/programs/coltsfootlockd/tests/test_documentation.cpp
+++ b/programs/coltsfootlockd/tests/test_documentation.cpp
@@ -134,9 +134,9 @@
   source_choice sources("entry-1", "a");
   const packet_path packets(std::move(*udp_socket::bind({ 0x7f000001, 0 }, why)), engine);
   observation_path observations(engine);
-  const record_path records({ 0x7f000001, 1 }, {}, 1, sources, observations, engine);
+  const record_path records("a", { 0x7f000001, 1 }, {}, 1, sources, observations, engine);
   std::set<row> expected;
-  for (const auto& family : carried_metric_families(engine, packets, records, 0, true, instant(seconds(1)))) {
+  for (const auto& family : carried_metric_families(engine, packets, records, 0, 0, true, instant(seconds(1)))) {
     const std::string type = family.type == prometheus::MetricType::Counter     ? "counter"
                              : family.type == prometheus::MetricType::Histogram ? "histogram"
                                                                                 : "gauge";
