Take over early from a silent reader, and reset paused flows of targets that reject a check

The records of a reader's followers reach 2.2 s before they leave it, which is a gap of more than 1.7 s, so that 131 of 295 daemons took the removed records of 82 silent targets for consequences of an outage and reset their flows 2.5 s later than the others; 342 requests failed at seconds 8 to 20, most of them at the callers' deadlines. After the power-off, no seed answered within 400 ms: they start with all others, and the daemons waited for them.

A target that other daemons found lost is checked by all daemons with flows to it, and a rejected check resets the paused ones.

--- a/include/coltsfootlock/coordination/steering/source_choice.h
+++ b/include/coltsfootlock/coordination/steering/source_choice.h
@@ -137,10 +137,10 @@
   member_list member_list_for(const std::string& domain, instant now) const;
 
   /// A first call waits this long for a seed's response.
-  static constexpr milliseconds max_member_wait{ 200 };
+  static constexpr milliseconds max_member_wait{ 50 };
 
   /// A seed that has not answered a daemon's first request by then may still be starting; the next one is asked.
-  static constexpr milliseconds first_seed_timeout{ 80 };
+  static constexpr milliseconds first_seed_timeout{ 200 };
 
   /// Delay before the next seed is asked if none has answered yet.
   static constexpr milliseconds seed_retry_delay{ 50 };
--- a/libraries/coordination/steering/target_loss_decisions.cpp
+++ b/libraries/coordination/steering/target_loss_decisions.cpp
@@ -47,18 +47,20 @@
 /// Load pattern: a process ends and its VM rejects first packets. Each caller that opens a flow to it loses an attempt,
 /// so a target is checked soon after a first packet without an answer, and at once if another daemon found it lost. The
 /// daemons that found it lost go on checking it and reporting it, so that no caller has to try it again meanwhile.
+/// Other daemons that have flows to it check it as well: a caller whose next request cannot be repeated is better off
+/// without the flow.
 bool
 steering_engine::check_is_due(const target_state& target, instant now) const
 {
   if (target.found_lost) {
     return true;
   }
+  const bool reported = target.reported_lost > std::max(target.last_progress, observing_since_);
   if (target.awaiting_flows == 0) {
-    return false;
+    return reported && target.open_flows > 0;
   }
   const bool opening_overdue = target.pending_opens > 0 && now - std::max(target.pending_since, observing_since_) >
                                                              steering_timing::opening_check_delay;
-  const bool reported = target.reported_lost > std::max(target.last_progress, observing_since_);
   return opening_overdue || reported ||
          now - std::max(target.awaiting_since, observing_since_) > steering_timing::check_delay;
 }
@@ -177,12 +179,16 @@
       { id, target->record.vm.incarnation, std::chrono::duration_cast<milliseconds>(now - target->check_started) });
   }
   if (!lost) {
+    if (target->awaiting_flows == 0) {
+      target->next_check = now + steering_timing::check_interval;
+    }
     return;
   }
   target->found_lost = true;
   target->next_check = now + steering_timing::check_interval;
   target->suspected_until = now + 2 * steering_timing::suspicion_duration;
-  if (target->awaiting_flows > 0) {
+  // Without a caller that waits, only a rejection ends flows.
+  if (target->awaiting_flows > 0 || outcome == check_outcome::refused) {
     dead_targets_.push_back({ id, target->check_started, now });
     report_target(*target, "dead evidence=" + check_evidence(*target, outcome, now), now);
   }
--- a/libraries/coordination/steering/tests/test_observations.cpp
+++ b/libraries/coordination/steering/tests/test_observations.cpp
@@ -120,6 +120,38 @@
   BOOST_TEST(pass(milliseconds(1000)).empty());
 }
 
+// Load pattern: a process ends while callers pause between requests. The next request of a paused caller would be lost
+// with the flow, and may be one that must not be repeated.
+BOOST_FIXTURE_TEST_CASE(paused_flows_of_a_target_that_rejects_a_check_are_reset, steering_fixture)
+{
+  publish(make_target(1, "a"));
+  establish(flow_of(1));
+  pass(milliseconds(500));
+  BOOST_TEST(engine.start_due_checks(now).empty());
+  engine.on_observation({ "t-1", 1, milliseconds(10) }, now);
+  BOOST_TEST_REQUIRE(engine.start_due_checks(now).size() == 1U);
+  engine.on_check("t-1", check_outcome::refused, now);
+  const auto resets = pass(milliseconds(100));
+  BOOST_TEST_REQUIRE(resets.size() == 1U);
+  BOOST_TEST((resets[0].reason == flow_end_reason::target_dead));
+}
+
+BOOST_FIXTURE_TEST_CASE(paused_flows_of_a_silent_target_are_kept, steering_fixture)
+{
+  publish(make_target(1, "a"));
+  publish(make_target(2, "a"));
+  establish(flow_of(1));
+  establish(flow_of(2));
+  pass(steering_timing::silent_check_grace + milliseconds(500));
+  for (int round = 0; round < 8; ++round) {
+    engine.on_observation({ "t-1", 1, milliseconds(0) }, now);
+    for (const reachability_check& check : engine.start_due_checks(now)) {
+      engine.on_check(check.target, check.target == "t-1" ? check_outcome::silent : check_outcome::accepted, now);
+    }
+    BOOST_TEST(pass(milliseconds(1000)).empty());
+  }
+}
+
 namespace {
 
 constexpr std::uint64_t targets = 120;
--- a/programs/coltsfootlockd/carried/peer_pages.cpp
+++ b/programs/coltsfootlockd/carried/peer_pages.cpp
@@ -80,7 +80,8 @@
   if (!age || !records.cache().complete()) {
     // All daemons of a domain may have started together, and this one may complete its list a little later than its
     // follower's request arrives.
-    const bool waits = now - follower.requested_at < follower.max_wait;
+    const milliseconds max_wait = std::max(follower.max_wait, max_renewal_time);
+    const bool waits = records.expects_list() && now - follower.requested_at < max_wait;
     return waits ? std::nullopt : std::optional(page{ status_unavailable, "", "text/plain" });
   }
   const record_status known{
--- a/programs/coltsfootlockd/carried/record_path.cpp
+++ b/programs/coltsfootlockd/carried/record_path.cpp
@@ -157,9 +157,9 @@
   return peer_->domain == domain_ ? record_sender::own_domain : record_sender::other_domain;
 }
 
-/// Maximum age of the records of the daemon that is followed.
+/// The age of its records at which the daemon that is followed is to respond at once.
 milliseconds
-record_path::max_record_age() const
+record_path::max_accepted_age() const
 {
   switch (tolerance_) {
     case age_tolerance::short_time:
@@ -187,7 +187,7 @@
   call_deadline_ = now + planned->timeout;
   if (peer_) {
     ++counters_.peer_calls;
-    exchange().get(peer_pages::request_target(call_, { received_observation_, max_record_age() }), call_deadline_);
+    exchange().get(peer_pages::request_target(call_, { received_observation_, max_accepted_age() }), call_deadline_);
     return;
   }
   ++(std::holds_alternative<list_call>(call_) ? counters_.store_lists : counters_.store_watches);
@@ -278,7 +278,9 @@
     return;
   }
   const auto records_age = age(now);
-  if (records_age && records_age->records > max_record_age()) {
+  const milliseconds limit =
+    tolerance_ == age_tolerance::unlimited ? settings_.max_peer_record_age : max_accepted_age();
+  if (records_age && records_age->records > limit) {
     on_old_records(records_age->records, now);
   } else {
     sources_.on_success(peer_->id);
--- a/programs/coltsfootlockd/carried/record_path.h
+++ b/programs/coltsfootlockd/carried/record_path.h
@@ -91,7 +91,7 @@
   const http_exchange& exchange() const { return peer_ ? peer_exchange_ : store_exchange_; }
   bool choose_source(instant now);
   record_sender receiver() const;
-  milliseconds max_record_age() const;
+  milliseconds max_accepted_age() const;
   void start_call(instant now);
   record_response read_response(const http_answer& response) const;
   void on_response(record_response response, instant now);
