Refuse late second copies of answers on connections in use

A server that sends a second copy of an answer, late, on a connection that is in use again: the copy passed for the answer to the next call, and each later answer for the one before. A page of a list would have been skipped, or old records confirmed.

Change: bytes that arrive between two calls end the connection before the next call is sent; calls carry a number, which daemons repeat in their answers; a response of the store that does not fit the call (a page that is not behind the previous one, changes that the watch did not ask for) counts as failed; a failed call ends its connection, so that a connection is not off by one answer for good.

Ruled out: a new connection for each call, which costs 14 round trips of a list at the start. Not covered: a second copy of an empty response to a watch of the store, which arrives after the next watch was sent; it confirms the records up to a wait (1.2 s) too early, and later changes still arrive.

Tests with a scripted server, and on the decision in the follower, fail without the checks.

--- a/include/coltsfootlock/coordination/steering/record_follower.h
+++ b/include/coltsfootlock/coordination/steering/record_follower.h
@@ -118,6 +118,10 @@
   /// could not be told from records that are missing in it.
   bool goes_back(const record_response& response) const;
 
+  /// True if a response of the store does not fit the last call: a page that is not behind the previous one, or changes
+  /// that a watch did not ask for. It is a late copy of the response to an earlier call.
+  bool answers_earlier_call(const record_response& response) const;
+
   /// True while some pages of a list have been received and more follow. A change of the source restarts the list.
   bool listing_in_progress() const { return !list_after_.empty() && failures_ == 0; }
 
--- a/include/coltsfootlock/transport/http_exchange.h
+++ b/include/coltsfootlock/transport/http_exchange.h
@@ -22,9 +22,17 @@
 
 /// GET calls to one server over a connection that stays open, one call at a time, without blocking and without threads.
 /// A call that gets no answer in time ends with its connection; the next one opens a new connection.
+///
+/// A server may send a second copy of an answer, which arrives late and would pass for the answer to the next call.
+/// Bytes that arrive between two calls end the connection. Calls carry a number, and a server that repeats it in its
+/// answers, as `page_server` does, cannot be misunderstood; for other servers the caller has to check the content, and
+/// ends the connection with `disconnect` if it does not fit.
 class http_exchange
 {
 public:
+  /// Header with the number of a call, and with that of the call that is answered.
+  static constexpr const char* call_header = "Coltsfootlock-Call";
+
   /// `most_body_bytes`: a longer body fails the call.
   http_exchange(const endpoint& server, std::size_t most_body_bytes);
   ~http_exchange();
@@ -34,6 +42,9 @@
   /// Sends a call. Nothing may be under way.
   void get(const std::string& target, instant deadline);
 
+  /// Ends the connection, so that the next call opens a new one. Nothing may be under way.
+  void disconnect();
+
   bool busy() const;
 
   /// For poll(); -1 without a connection.
--- a/libraries/coordination/steering/record_follower.cpp
+++ b/libraries/coordination/steering/record_follower.cpp
@@ -111,6 +111,23 @@
   return page != nullptr && page->store_revision < revision_;
 }
 
+bool
+record_follower::answers_earlier_call(const record_response& response) const
+{
+  if (sender_ != record_sender::store) {
+    return false;
+  }
+  if (const auto* page = std::get_if<record_page>(&response)) {
+    return !list_after_.empty() && !page->last_key.empty() && page->last_key <= list_after_;
+  }
+  const auto* events = std::get_if<record_events>(&response);
+  return events != nullptr &&
+         (events->store_revision < revision_ ||
+          std::any_of(events->changes.begin(), events->changes.end(), [this](const record_change& change) {
+            return change.revision <= revision_;
+          }));
+}
+
 record_follower::progress
 record_follower::on(record_page page, instant now)
 {
--- a/libraries/coordination/steering/tests/test_record_follower.cpp
+++ b/libraries/coordination/steering/tests/test_record_follower.cpp
@@ -256,4 +256,24 @@
   BOOST_TEST((follower.outage_grace_end() == now + milliseconds(900)));
 }
 
+// The store sends a second copy of a response, which arrives as the response to the next call on the connection. Taken
+// for it, it would skip a page, or confirm old records.
+BOOST_AUTO_TEST_CASE(a_late_copy_of_a_response_does_not_pass_for_the_next_one)
+{
+  call();
+  follower.on_response(record_page{ {}, 50, "k", true, {} }, now);
+  call();
+  BOOST_TEST(follower.answers_earlier_call(record_page{ {}, 50, "k", true, {} }));
+  BOOST_TEST(!follower.answers_earlier_call(record_page{ {}, 50, "m", true, {} }));
+  follower.on_response(record_page{ {}, 50, "z", false, {} }, now);
+  call();
+  const record_events events{ { { 51, target_removed{ "t-1" } } }, 51, {} };
+  BOOST_TEST(!follower.answers_earlier_call(events));
+  follower.on_response(events, now);
+  call();
+  BOOST_TEST(follower.answers_earlier_call(events));
+  BOOST_TEST(follower.answers_earlier_call(record_events{ {}, 50, {} }));
+  BOOST_TEST(!follower.answers_earlier_call(record_events{ {}, 51, {} }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/libraries/transport/http_exchange.cpp
+++ b/libraries/transport/http_exchange.cpp
@@ -1,7 +1,9 @@
 #include "coltsfootlock/transport/http_exchange.h"
 
+#include "header_value.h"
 #include "tcp_stream.h"
 
+#include <cstdint>
 #include <utility>
 
 #include <http_parser.h>
@@ -22,6 +24,7 @@
   bool complete = false;
   bool too_large = false;
   bool keep_alive = false;
+  header_value call; ///< Number of the answered call; empty if the server does not state it.
 
   void restart()
   {
@@ -30,6 +33,19 @@
     body.clear();
     complete = false;
     too_large = false;
+    call = header_value(http_exchange::call_header);
+  }
+
+  static int on_header_field(http_parser* parser, const char* data, std::size_t size)
+  {
+    static_cast<response_reader*>(parser->data)->call.add_name({ data, size });
+    return 0;
+  }
+
+  static int on_header_value(http_parser* parser, const char* data, std::size_t size)
+  {
+    static_cast<response_reader*>(parser->data)->call.add_value({ data, size });
+    return 0;
   }
 
   static int on_body(http_parser* parser, const char* data, std::size_t size)
@@ -57,6 +73,8 @@
 {
   http_parser_settings result;
   http_parser_settings_init(&result);
+  result.on_header_field = &response_reader::on_header_field;
+  result.on_header_value = &response_reader::on_header_value;
   result.on_body = &response_reader::on_body;
   result.on_message_complete = &response_reader::on_complete;
   return result;
@@ -73,6 +91,7 @@
   std::string target;
   instant deadline;
   bool busy = false;
+  std::uint64_t call_number = 0;
   std::string read_buffer = std::string(read_bytes, '\0');
 
   error failure(const std::string& problem) const
@@ -109,8 +128,12 @@
   call.target = target;
   call.deadline = deadline;
   call.busy = true;
-  call.unsent = "GET " + target + " HTTP/1.1\r\nHost: " + to_string(call.server) + "\r\n\r\n";
+  call.unsent = "GET " + target + " HTTP/1.1\r\nHost: " + to_string(call.server) + "\r\n" + call_header + ": " +
+                std::to_string(++call.call_number) + "\r\n\r\n";
   call.reader.restart();
+  if (call.stream.is_open() && call.stream.is_readable()) {
+    call.stream.close(); // An end of the connection, or bytes that answer no call.
+  }
   if (!call.stream.is_open()) {
     call.stream = tcp_stream::connect(call.server);
   }
@@ -119,6 +142,12 @@
   }
 }
 
+void
+http_exchange::disconnect()
+{
+  implementation_->stream.close();
+}
+
 bool
 http_exchange::busy() const
 {
@@ -162,6 +191,10 @@
     const std::size_t parsed = http_parser_execute(&reader.parser, &settings, read_buffer.data(), size);
     if (reader.complete) {
       busy = false;
+      const std::string& answered = reader.call.value();
+      if (!answered.empty() && answered != std::to_string(call_number)) {
+        return fail("the answer belongs to an earlier call");
+      }
       http_answer answer{ static_cast<int>(reader.parser.status_code), std::move(reader.body) };
       if (!reader.keep_alive || parsed < size) {
         stream.close();
--- a/libraries/transport/page_server.cpp
+++ b/libraries/transport/page_server.cpp
@@ -1,6 +1,8 @@
 #include "coltsfootlock/transport/page_server.h"
 
+#include "coltsfootlock/transport/http_exchange.h"
 #include "coltsfootlock/transport/log.h"
+#include "header_value.h"
 #include "socket_address.h"
 #include "tcp_stream.h"
 
@@ -44,6 +46,7 @@
   instant last_used;
   page_server::handler waiting; ///< Set while the request waits for its page.
   page_request request;
+  header_value call; ///< Number of the call, to be repeated in its answer.
 
   void restart()
   {
@@ -51,6 +54,19 @@
     parser.data = this;
     path.clear();
     complete = false;
+    call = header_value(http_exchange::call_header);
+  }
+
+  static int on_header_field(http_parser* parser, const char* data, std::size_t size)
+  {
+    static_cast<connection*>(parser->data)->call.add_name({ data, size });
+    return 0;
+  }
+
+  static int on_header_value(http_parser* parser, const char* data, std::size_t size)
+  {
+    static_cast<connection*>(parser->data)->call.add_value({ data, size });
+    return 0;
   }
 
   static int on_url(http_parser* parser, const char* data, std::size_t size)
@@ -79,6 +95,8 @@
   http_parser_settings result;
   http_parser_settings_init(&result);
   result.on_url = &connection::on_url;
+  result.on_header_field = &connection::on_header_field;
+  result.on_header_value = &connection::on_header_value;
   result.on_message_complete = &connection::on_complete;
   return result;
 }
@@ -105,10 +123,11 @@
 }
 
 std::string
-to_bytes(const page& content, bool keep_alive)
+to_bytes(const page& content, const std::string& call, bool keep_alive)
 {
   return "HTTP/1.1 " + std::to_string(content.status) + " " + reason_phrase(content.status) +
          "\r\nContent-Type: " + content.content_type + "\r\nContent-Length: " + std::to_string(content.body.size()) +
+         (call.empty() ? "" : std::string("\r\n") + http_exchange::call_header + ": " + call) +
          (keep_alive ? "" : "\r\nConnection: close") + "\r\n\r\n" + content.body;
 }
 
@@ -258,7 +277,7 @@
   }
   caller.waiting = nullptr;
   caller.last_used = now;
-  caller.unsent += to_bytes(*content, caller.keep_alive);
+  caller.unsent += to_bytes(*content, caller.call.value(), caller.keep_alive);
   if (send_unsent(caller) == tcp_stream::state::broken || !caller.keep_alive) {
     return false;
   }
--- a/libraries/transport/tcp_stream.cpp
+++ b/libraries/transport/tcp_stream.cpp
@@ -6,6 +6,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace coltsfootlock {
@@ -32,6 +33,13 @@
   return result;
 }
 
+bool
+tcp_stream::is_readable() const
+{
+  pollfd wanted{ descriptor(), POLLIN, 0 };
+  return ::poll(&wanted, 1, 0) > 0;
+}
+
 tcp_stream::state
 tcp_stream::write(std::string& bytes)
 {
--- a/libraries/transport/tcp_stream.h
+++ b/libraries/transport/tcp_stream.h
@@ -30,6 +30,9 @@
   int descriptor() const { return descriptor_.get(); }
   void close() { descriptor_.close(); }
 
+  /// True if bytes can be read, or the connection is over.
+  bool is_readable() const;
+
   /// Sends from the front of `bytes` and erases what was taken.
   state write(std::string& bytes);
 
--- a/libraries/transport/tests/test_polled_http.cpp
+++ b/libraries/transport/tests/test_polled_http.cpp
@@ -3,10 +3,14 @@
 #include "coltsfootlock/transport/http_exchange.h"
 #include "coltsfootlock/transport/page_server.h"
 #include "coltsfootlock/transport/udp_socket.h"
+#include "socket_address.h"
+#include "tcp_stream.h"
 #include "waiting_lines.h"
 
+#include <array>
 #include <stdexcept>
 
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <boost/test/unit_test.hpp>
@@ -163,4 +167,101 @@
   BOOST_TEST(get("/echo?text=next").body == "next");
 }
 
+namespace {
+
+/// A server that answers each request as a test says.
+struct scripted_server
+{
+  tcp_stream listener{ ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0) };
+  tcp_stream connection;
+  std::string received;
+
+  scripted_server()
+  {
+    const sockaddr_in address = to_socket_address(any_port);
+    BOOST_REQUIRE(::bind(listener.descriptor(), reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0);
+    BOOST_REQUIRE(::listen(listener.descriptor(), 8) == 0);
+  }
+
+  endpoint local() const { return bound_address(listener.descriptor()); }
+
+  static std::string response(const std::string& body, const std::string& call)
+  {
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" +
+           (call.empty() ? "" : std::string(http_exchange::call_header) + ": " + call + "\r\n") + "\r\n" + body;
+  }
+
+  /// Waits for a request of the client, on a new connection if it opened one.
+  void receive_request(http_exchange& client)
+  {
+    received.clear();
+    std::array<char, 1000> buffer;
+    while (received.find("\r\n\r\n") == std::string::npos) {
+      client.advance(boot_clock_now());
+      if (const int opened = ::accept4(listener.descriptor(), nullptr, nullptr, SOCK_NONBLOCK); opened >= 0) {
+        connection = tcp_stream(opened);
+        received.clear();
+      }
+      std::size_t size = 0;
+      if (connection.is_open() && connection.read(buffer.data(), buffer.size(), size) == tcp_stream::state::done) {
+        received.append(buffer.data(), size);
+      }
+    }
+  }
+
+  void send(std::string bytes) { BOOST_REQUIRE(connection.write(bytes) == tcp_stream::state::done); }
+
+  static std::variant<http_answer, error> result_of(http_exchange& client)
+  {
+    std::optional<std::variant<http_answer, error>> result;
+    while (!result) {
+      pollfd readable{ client.descriptor(), POLLIN, 0 };
+      ::poll(&readable, 1, 1000);
+      result = client.advance(boot_clock_now());
+    }
+    return *result;
+  }
+};
+
+}
+
+// A server sends a second copy of its answer. The next call must not take it for its own answer.
+BOOST_AUTO_TEST_CASE(a_second_copy_of_an_answer_before_the_next_call_is_not_its_answer)
+{
+  scripted_server other;
+  http_exchange caller(other.local(), 1000);
+  caller.get("/first", boot_clock_now() + seconds(10));
+  other.receive_request(caller);
+  other.send(scripted_server::response("first", ""));
+  BOOST_TEST(std::get<http_answer>(scripted_server::result_of(caller)).body == "first");
+  other.send(scripted_server::response("first", ""));
+  pollfd readable{ caller.descriptor(), POLLIN, 0 };
+  BOOST_REQUIRE(::poll(&readable, 1, 5000) == 1);
+  caller.get("/second", boot_clock_now() + seconds(10));
+  other.receive_request(caller);
+  other.send(scripted_server::response("second", ""));
+  BOOST_TEST(std::get<http_answer>(scripted_server::result_of(caller)).body == "second");
+}
+
+BOOST_AUTO_TEST_CASE(a_second_copy_of_an_answer_after_the_next_call_fails_it)
+{
+  scripted_server other;
+  http_exchange caller(other.local(), 1000);
+  caller.get("/first", boot_clock_now() + seconds(10));
+  other.receive_request(caller);
+  other.send(scripted_server::response("first", "1"));
+  BOOST_TEST(std::get<http_answer>(scripted_server::result_of(caller)).body == "first");
+  caller.get("/second", boot_clock_now() + seconds(10));
+  other.receive_request(caller);
+  other.send(scripted_server::response("first", "1"));
+  BOOST_TEST(std::holds_alternative<error>(scripted_server::result_of(caller)));
+  BOOST_TEST(caller.descriptor() == -1);
+}
+
+BOOST_AUTO_TEST_CASE(a_page_states_the_call_that_it_answers)
+{
+  BOOST_TEST(get("/echo?text=first").body == "first");
+  BOOST_TEST(get("/echo?text=second").body == "second"); // Would fail with the number of another call.
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/programs/coltsfootlockd/carried/record_path.cpp
+++ b/programs/coltsfootlockd/carried/record_path.cpp
@@ -229,8 +229,12 @@
 void
 record_path::on_response(record_response response, instant now)
 {
+  if (!peer_ && follower_.answers_earlier_call(response)) {
+    response = call_failed{ { error_kind::stale, "the response belongs to an earlier call" } };
+  }
   const auto* failed = std::get_if<call_failed>(&response);
   if (peer_ && failed != nullptr) {
+    peer_exchange_.disconnect();
     on_peer_failure(failed->why.message, now);
     return;
   }
@@ -240,6 +244,7 @@
   }
   std::string problem;
   if (failed != nullptr) {
+    store_exchange_.disconnect(); // A connection that is off by one answer would stay so.
     ++counters_.store_failures;
     store_retry_at_ = now + store_retry;
     problem = failed->why.message;
