Take new lists from the store that asked for them, and stay with the source that ended an outage

A third of the VMs is cut off from the store for 12 s, among them the reader and its successors, while the store discards its history.

Change: a list that the store asked for is read from the store; only current records end an assumed outage; the source that ended it, or the store, is preferred for 4 s to those that had old records; during an outage the best member and the others are asked in turn.

Ruled out: old pages for this list (not sent: the daemon knows records).

--- a/include/coltsfootlock/coordination/steering/record_follower.h
+++ b/include/coltsfootlock/coordination/steering/record_follower.h
@@ -122,6 +122,9 @@
   /// that a watch did not ask for. It is a late copy of the response to an earlier call.
   bool answers_earlier_call(const record_response& response) const;
 
+  /// True if the store responded that it no longer has the changes, and the new list is not complete.
+  bool relists_from_store() const { return relists_from_store_ && failures_ == 0; }
+
   /// True while some pages of a list have been received and more follow. A change of the source restarts the list.
   bool listing_in_progress() const { return !list_after_.empty() && failures_ == 0; }
 
@@ -152,6 +155,7 @@
   bool calling_ = false;
   record_sender sender_ = record_sender::store;
   bool listing_ = true;
+  bool relists_from_store_ = false;
   bool list_is_old_ = false; ///< The pages of the current or last list may be old.
   std::string list_after_;
   std::uint64_t list_revision_ = 0; ///< Of the oldest page of the list.
--- a/include/coltsfootlock/coordination/steering/source_choice.h
+++ b/include/coltsfootlock/coordination/steering/source_choice.h
@@ -69,8 +69,9 @@
 /// What a daemon knows of the store from its own calls.
 struct store_condition
 {
-  bool failing = false; ///< The last calls failed, and another daemon may be followed instead.
-  bool callable = true; ///< The store may be called now, after the delays for its failures and rate.
+  bool failing = false;   ///< The last calls failed, and another daemon may be followed instead.
+  bool callable = true;   ///< The store may be called now, after the delays for its failures and rate.
+  bool relisting = false; ///< The store responded that a new list is needed, which is to come from the store as well.
 
   auto operator<=>(const store_condition&) const = default;
 };
@@ -137,7 +138,7 @@
   member_list member_list_for(const std::string& domain, instant now) const;
 
   /// A first call waits this long for a seed's response.
-  static constexpr milliseconds max_member_wait{ 50 };
+  static constexpr milliseconds max_member_wait{ 100 };
 
   /// A seed that has not answered a daemon's first request by then may still be starting; the next one is asked.
   static constexpr milliseconds first_seed_timeout{ 200 };
@@ -180,7 +181,7 @@
   std::optional<fleet_member> fallback(instant now) const;
 
   /// The member's records are current.
-  void on_success(const std::string& id);
+  void on_success(const std::string& id, instant now);
 
   /// The member did not respond.
   void on_failure(const std::string& id, instant now);
@@ -188,8 +189,8 @@
   /// The member's records are too old.
   void on_old_records(const std::string& id, instant now);
 
-  /// The store responded to a call.
-  void on_store_success();
+  /// The records were confirmed by the store.
+  void on_store_success(instant now);
 
   /// True while an outage of the store for all daemons is assumed.
   bool in_outage() const { return next_probe_.has_value(); }
@@ -232,6 +233,7 @@
   bool is_successor(instant now) const;
   record_source choose_during_outage(const store_condition& store, instant now);
   duration probe_delay(double share, instant now) const;
+  void end_outage(const std::string& rescuer, instant now);
 
   const std::string self_;
   const std::string domain_;
@@ -242,6 +244,9 @@
   std::optional<instant> members_awaited_until_; ///< Until then, or the first member list, no call is made.
   unsigned old_sources_ = 0;                     ///< Sources in a row with old records.
   std::optional<instant> next_probe_;            ///< Of the store, during an outage.
+  bool asks_best_ = true; ///< During an outage, the best member and the others are asked in turn.
+  std::string rescuer_;   ///< The source that ended the last outage; empty for the store.
+  instant rescuer_until_; ///< Until then it is preferred to the sources that had old records.
 };
 
 }
--- a/libraries/coordination/steering/record_follower.cpp
+++ b/libraries/coordination/steering/record_follower.cpp
@@ -149,6 +149,7 @@
   revision_ = std::max(revision_, list_revision_);
   result.snapshot_complete = list_revision_;
   listing_ = false;
+  relists_from_store_ = false;
   list_after_.clear();
   if (!list_is_old_) {
     confirm(page.age, now);
@@ -182,6 +183,7 @@
   on_call_success(result, {}, now);
   outage_grace_end_ = now + settings_.outage_grace;
   listing_ = true;
+  relists_from_store_ = sender_ == record_sender::store;
   list_is_old_ = false;
   list_after_.clear();
   next_wakeup_ = now;
--- a/libraries/coordination/steering/source_choice.cpp
+++ b/libraries/coordination/steering/source_choice.cpp
@@ -173,9 +173,21 @@
   if (members_awaited_until_ && now < *members_awaited_until_) {
     return await_members{ *members_awaited_until_ };
   }
+  if (store.relisting) {
+    return read_store{};
+  }
   if (in_outage()) {
     return choose_during_outage(store, now);
   }
+  if (now < rescuer_until_ && !store.failing) {
+    const auto rescuer = members_.find(rescuer_);
+    if (rescuer_.empty()) {
+      return read_store{};
+    }
+    if (rescuer != members_.end() && rescuer->second.excluded_until <= now) {
+      return follow_member{ rescuer->second.member, age_tolerance::usual };
+    }
+  }
   auto wanted = peer(now);
   if (!wanted && store.failing) {
     wanted = fallback(now);
@@ -202,14 +214,16 @@
 source_choice::choose_during_outage(const store_condition& store, instant now)
 {
   const member_state* best = nullptr;
+  const member_state* least_recent = nullptr;
   std::size_t higher = 0;
   for (const member_state* state : by_rank(now)) {
-    if (state->member.domain != domain_ || state->rank <= self_rank_) {
+    if (state->member.domain != domain_) {
       continue;
     }
-    ++higher;
-    if (best == nullptr || state->excluded_until < best->excluded_until) {
-      best = state;
+    higher += state->rank > self_rank_ ? 1 : 0;
+    best = best == nullptr ? state : best;
+    if (least_recent == nullptr || state->excluded_until < least_recent->excluded_until) {
+      least_recent = state;
     }
   }
   if (higher < outage_readers) {
@@ -219,7 +233,7 @@
     next_probe_ = now + probe_delay(1, now);
     return read_store{};
   }
-  return follow_member{ best->member, age_tolerance::unlimited };
+  return follow_member{ asks_best_ ? best->member : least_recent->member, age_tolerance::unlimited };
 }
 
 /// `share` of the time in which each daemon of the domain reads the store once.
@@ -231,19 +245,30 @@
 }
 
 void
-source_choice::on_store_success()
+source_choice::end_outage(const std::string& rescuer, instant now)
 {
   old_sources_ = 0;
-  next_probe_.reset();
+  if (in_outage()) {
+    next_probe_.reset();
+    rescuer_ = rescuer;
+    rescuer_until_ = now + initial_exclusion;
+  }
 }
 
 void
-source_choice::on_success(const std::string& id)
+source_choice::on_store_success(instant now)
 {
-  on_store_success();
+  end_outage("", now);
+}
+
+void
+source_choice::on_success(const std::string& id, instant now)
+{
+  end_outage(id, now);
   const auto found = members_.find(id);
   if (found != members_.end()) {
     found->second.failures = 0;
+    found->second.excluded_until = instant{};
   }
 }
 
@@ -264,17 +289,18 @@
 source_choice::on_old_records(const std::string& id, instant now)
 {
   if (in_outage()) {
+    asks_best_ = !asks_best_;
+    const auto found = members_.find(id);
+    if (found != members_.end()) {
+      found->second.excluded_until = std::max(found->second.excluded_until, now + initial_exclusion);
+    }
     return;
   }
+  on_failure(id, now);
   if (++old_sources_ < min_old_sources) {
-    on_failure(id, now);
     return;
   }
-  // None of them is worse than the others.
-  for (auto& [other, state] : members_) {
-    state.failures = 0;
-    state.excluded_until = instant{};
-  }
+  asks_best_ = true;
   constexpr double hash_range = 18446744073709551616.0; // 2^64
   next_probe_ = now + probe_delay(static_cast<double>(self_rank_.hash) / hash_range, now);
 }
--- a/libraries/coordination/steering/tests/test_record_follower.cpp
+++ b/libraries/coordination/steering/tests/test_record_follower.cpp
@@ -225,6 +225,7 @@
   call();
   follower.on_response(history_unavailable{}, now);
   BOOST_TEST((std::get<list_call>(call()) == list_call{ "", false }));
+  BOOST_TEST(follower.relists_from_store());
   const record_response older = record_page{ {}, 49, "", false, {} };
   BOOST_TEST(follower.goes_back(older));
   BOOST_TEST(!follower.goes_back(record_page{ {}, 50, "", false, {} }));
--- a/libraries/coordination/steering/tests/test_source_outages.cpp
+++ b/libraries/coordination/steering/tests/test_source_outages.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -80,7 +81,7 @@
       daemon.confirmed = now;
       daemon.store_delay = milliseconds(0);
       daemon.store_callable_at = now + milliseconds(500);
-      daemon.sources->on_store_success();
+      daemon.sources->on_store_success(now);
       return;
     }
     daemon.store_callable_at = now + daemon.store_delay;
@@ -95,7 +96,7 @@
     if (now - confirmed > settings.max_peer_record_age) {
       daemon.sources->on_old_records(source.member.id, now);
     } else {
-      daemon.sources->on_success(source.member.id);
+      daemon.sources->on_success(source.member.id, now);
     }
   }
 
@@ -117,6 +118,10 @@
           call_store(daemon, served(number));
         }
       }
+      for (int number = 0; number < domain_size; ++number) {
+        const duration age = now - daemons[static_cast<std::size_t>(number)].confirmed;
+        longest_age = served(number) ? std::max(longest_age, age) : longest_age;
+      }
     }
   }
 
@@ -129,6 +134,9 @@
     return result;
   }
 
+  /// Longest time that a daemon's records were old, of those that the store serves.
+  duration longest_age{};
+
   std::size_t outdated() const
   {
     std::size_t result = 0;
@@ -184,6 +192,39 @@
   }
 }
 
+// Regression found by scale-2 of tazasu-hq-grown: the reader and the next daemons by rank were cut off from the store
+// for 12 s, and a daemon that had read the store itself returned to them. A catalogue has to be in force within 6 s.
+BOOST_AUTO_TEST_CASE(records_of_daemons_that_the_store_serves_stay_current_while_the_highest_ranks_are_cut_off)
+{
+  domain_model domain;
+  source_choice seed("entry-100000", "z");
+  for (int number = 0; number < domain_size; ++number) {
+    seed.on_member(member(number), domain.now);
+  }
+  std::set<std::string> cut;
+  for (const fleet_member& one : seed.member_list_for("a", domain.now).members) {
+    if (cut.size() < 5) {
+      cut.insert(one.id);
+    }
+  }
+  domain.play(milliseconds(1000), [](int) { return true; });
+  domain.play(milliseconds(12000), [&cut](int number) { return !cut.contains(member(number).id); });
+  BOOST_TEST((domain.longest_age < seconds(6)));
+}
+
+// Regression found with it: the store answered a probe that its history was gone, which counted as the end of the
+// outage, and the new list came from a source with old records.
+BOOST_AUTO_TEST_CASE(a_new_list_comes_from_the_store_that_asked_for_it)
+{
+  instant now(seconds(10));
+  source_choice daemon("entry-1", "a");
+  fleet_member fast = member(2);
+  fast.link_kbps = 200000;
+  daemon.on_member(fast, now);
+  BOOST_TEST(std::holds_alternative<follow_member>(daemon.choose({}, now)));
+  BOOST_TEST(std::holds_alternative<read_store>(daemon.choose({ false, true, true }, now)));
+}
+
 // Load pattern: a daemon starts beside others that have records. A call to the store before it knows them is wasted.
 BOOST_AUTO_TEST_CASE(a_daemon_that_starts_waits_for_members_before_it_reads_the_store)
 {
--- a/programs/coltsfootlockd/carried/record_path.cpp
+++ b/programs/coltsfootlockd/carried/record_path.cpp
@@ -123,7 +123,8 @@
     return true;
   }
   const store_condition store{ follower_.failures() >= failures_before_fallback && now < store_retry_at_,
-                               now >= follower_.next_wakeup() };
+                               now >= follower_.next_wakeup(),
+                               follower_.relists_from_store() };
   const record_source source = sources_.choose(store, now);
   if (const auto* awaited = std::get_if<await_members>(&source)) {
     members_awaited_until_ = awaited->until;
@@ -278,17 +279,19 @@
   if (failed != nullptr) {
     return;
   }
+  const auto records_age = age(now);
   if (!peer_) {
-    sources_.on_store_success();
+    if (records_age && records_age->records <= settings_.max_peer_record_age) {
+      sources_.on_store_success(now);
+    }
     return;
   }
-  const auto records_age = age(now);
   const milliseconds limit =
     tolerance_ == age_tolerance::unlimited ? settings_.max_peer_record_age : max_accepted_age();
   if (records_age && records_age->records > limit) {
     on_old_records(records_age->records, now);
   } else {
-    sources_.on_success(peer_->id);
+    sources_.on_success(peer_->id, now);
   }
 }
 
