Renew the report of a lost target by one daemon, and drop refuted reports

Connections to targets rose from 76,960 to 439,899: each daemon that had found a target lost checked it each second, and a daemon with flows to a target that others had reported checked it again 100 ms after each accepted check.

Change: a daemon renews its report only if no other one has for 1.1 to 1.7 s, which differs between daemons; without waiting callers a report leads to one check; an accepted check refutes all earlier reports. The first list of a process is logged as a whole instead of a line for each target, since callers wait for it after a restart of all daemons.

Replay of the load on the decisions: one check a second for each lost target.

--- a/include/coltsfootlock/coordination/steering/steering_engine.h
+++ b/include/coltsfootlock/coordination/steering/steering_engine.h
@@ -166,6 +166,7 @@
   instant observing_since_; ///< Start of uninterrupted observation: the start of the daemon or the end of the last
                             ///< pause. Silence before it is no evidence.
   std::uint64_t self_hash_ = 0;
+  duration report_interval_; ///< Of this daemon, between `min_report_delay` and `max_report_delay`.
   std::size_t daemons_in_domain_ = 1;
   steering_counters counters_;
   std::vector<steering_event> events_;
--- a/include/coltsfootlock/coordination/steering/steering_timing.h
+++ b/include/coltsfootlock/coordination/steering/steering_timing.h
@@ -58,6 +58,11 @@
 /// Interval between checks of a target that answers them.
 inline constexpr milliseconds check_interval{ 1000 };
 
+/// A daemon that found a target lost checks it again if no other one has reported it for this long. The daemons differ
+/// by up to `max_report_delay`, so that usually a single one checks it.
+inline constexpr milliseconds min_report_delay{ 1100 };
+inline constexpr milliseconds max_report_delay{ 1700 };
+
 /// Checks that run at the same time; each uses a descriptor.
 inline constexpr std::size_t max_running_checks = 64;
 
--- a/include/coltsfootlock/coordination/steering/target_state.h
+++ b/include/coltsfootlock/coordination/steering/target_state.h
@@ -39,11 +39,13 @@
   std::uint64_t check_number = 0;   ///< Of the last check; counts the checks of this daemon.
   instant next_check;               ///< No check before this time.
   bool checked_in_vain = false;     ///< The last check was not answered, conclusive or not.
+  bool checked_on_report = false;   ///< Checked since another daemon found it lost, without an answer so far.
   bool found_lost = false;          ///< Checks of this daemon showed that the target does not run or is unreachable.
   unsigned silent_checks = 0;       ///< Consecutive conclusive checks without an answer, reset by any answer.
   instant first_silent_check;       ///< When the first of them started.
   instant last_silent_check;        ///< When the last of them started.
   std::uint32_t repeated_packets = 0; ///< Data packets that callers retransmitted since the last progress.
+  instant last_accepted_check;        ///< Start of the last check that the target accepted.
   instant reported_lost;              ///< When another daemon last saw that the target was lost.
   instant suspected_until;            ///< Until then the target gets new flows only if no other target can take them.
   double cold_allowance = 0;          ///< New flows that this daemon may open now while the target is cold.
--- a/libraries/coordination/steering/open_flow_decisions.cpp
+++ b/libraries/coordination/steering/open_flow_decisions.cpp
@@ -141,6 +141,7 @@
   target.silent_checks = 0;
   target.checked_in_vain = false;
   target.found_lost = false;
+  target.checked_on_report = false;
   isolation_.on_progress();
   target.pending_since = now;
   target.suspected_until = instant{};
--- a/libraries/coordination/steering/steering_engine.cpp
+++ b/libraries/coordination/steering/steering_engine.cpp
@@ -32,6 +32,9 @@
   : settings_(settings)
   , flows_(settings.max_flows)
   , self_hash_(hash_text(settings.self))
+  , report_interval_(
+      steering_timing::min_report_delay +
+      milliseconds(self_hash_ % (steering_timing::max_report_delay - steering_timing::min_report_delay).count()))
 {
 }
 
@@ -80,6 +83,9 @@
       if (effect == target_directory::effect::restarted) {
         engine.on_restart(content.target.vm.id);
       }
+      if (!engine.complete_) {
+        return; // The first list has hundreds of targets, and callers wait for it; it is logged as a whole.
+      }
       engine.report_target(*engine.targets_.find(content.target.vm.id),
                            effect == target_directory::effect::restarted ? "restarted" : "published",
                            now);
--- a/libraries/coordination/steering/target_directory.cpp
+++ b/libraries/coordination/steering/target_directory.cpp
@@ -102,6 +102,7 @@
     target.silent_checks = 0;
     target.checked_in_vain = false;
     target.found_lost = false;
+    target.checked_on_report = false;
     target.cold_allowance = 0;
     target.cold_allowance_at = now;
   }
--- a/libraries/coordination/steering/target_loss_decisions.cpp
+++ b/libraries/coordination/steering/target_loss_decisions.cpp
@@ -52,12 +52,13 @@
 bool
 steering_engine::check_is_due(const target_state& target, instant now) const
 {
-  if (target.found_lost) {
-    return true;
-  }
-  const bool reported = target.reported_lost > std::max(target.last_progress, observing_since_);
+  const bool reported =
+    target.reported_lost > std::max({ target.last_progress, target.last_accepted_check, observing_since_ });
   if (target.awaiting_flows == 0) {
-    return reported && target.open_flows > 0;
+    // One of the daemons that found the target lost is enough to keep it reported.
+    const bool renews_report =
+      target.found_lost && now - std::max(target.reported_lost, target.check_started) > report_interval_;
+    return renews_report || (reported && target.open_flows > 0 && !target.checked_on_report);
   }
   const bool opening_overdue = target.pending_opens > 0 && now - std::max(target.pending_since, observing_since_) >
                                                              steering_timing::opening_check_delay;
@@ -77,7 +78,7 @@
   target_state* target = targets_.find(observation.target);
   const instant seen_at = now - observation.age;
   if (target == nullptr || target->record.vm.incarnation != observation.incarnation ||
-      target->last_progress >= seen_at || seen_at <= target->reported_lost) {
+      seen_at <= std::max({ target->last_progress, target->last_accepted_check, target->reported_lost })) {
     return;
   }
   target->reported_lost = seen_at;
@@ -132,6 +133,7 @@
   std::vector<reachability_check> checks;
   for (target_state* target : due) {
     target->check_running = true;
+    target->checked_on_report = target->checked_on_report || target->reported_lost > target->last_progress;
     target->check_started = now;
     target->check_number = ++counters_.checks;
     checks.push_back({ target->record.vm.id, target->record.vm.load_address });
@@ -164,6 +166,8 @@
     target->silent_checks = 0;
     target->checked_in_vain = false;
     target->found_lost = false;
+    target->checked_on_report = false;
+    target->last_accepted_check = target->check_started;
     if (target->awaiting_flows > 0) { // Otherwise it was checked only as the reference target.
       target->next_check = now + steering_timing::check_interval;
     }
--- a/libraries/coordination/steering/tests/test_observations.cpp
+++ b/libraries/coordination/steering/tests/test_observations.cpp
@@ -105,6 +105,17 @@
   BOOST_TEST(engine.counters().reported_targets == 0U);
 }
 
+// Load pattern: a process ends, and callers whose first packets are rejected have used up their attempts within 30 ms.
+BOOST_FIXTURE_TEST_CASE(a_first_packet_without_an_answer_leads_to_an_early_check, steering_fixture)
+{
+  publish(make_target(1, "a"));
+  open(flow_of(1));
+  now += steering_timing::opening_check_delay;
+  BOOST_TEST(engine.start_due_checks(now).empty());
+  now += milliseconds(1);
+  BOOST_TEST(engine.start_due_checks(now).size() == 1U);
+}
+
 // What another daemon saw may be due to its own position. Flows end only on evidence of this daemon.
 BOOST_FIXTURE_TEST_CASE(an_observation_ends_no_flow, steering_fixture)
 {
@@ -136,6 +147,24 @@
   BOOST_TEST((resets[0].reason == flow_end_reason::target_dead));
 }
 
+// Load pattern: a partition ends, and reports from before are still on their way. One answered check is enough for
+// each.
+BOOST_FIXTURE_TEST_CASE(a_report_that_a_check_refutes_leads_to_no_further_checks, steering_fixture)
+{
+  publish(make_target(1, "a"));
+  establish(flow_of(1));
+  pass(milliseconds(500));
+  engine.on_observation({ "t-1", 1, milliseconds(100) }, now);
+  BOOST_TEST_REQUIRE(engine.start_due_checks(now).size() == 1U);
+  engine.on_check("t-1", check_outcome::accepted, now);
+  for (int round = 0; round < 20; ++round) {
+    pass(milliseconds(100));
+    BOOST_TEST(engine.start_due_checks(now).empty());
+  }
+  engine.on_observation({ "t-1", 1, milliseconds(2100) }, now); // An older report.
+  BOOST_TEST(engine.start_due_checks(now).empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(paused_flows_of_a_silent_target_are_kept, steering_fixture)
 {
   publish(make_target(1, "a"));
@@ -242,6 +271,15 @@
     }
   }
 
+  std::uint64_t checks() const
+  {
+    std::uint64_t result = 0;
+    for (const auto& daemon : daemons) {
+      result += daemon->engine.counters().checks;
+    }
+    return result;
+  }
+
   void play(bool exchange)
   {
     for (int steps = 0; steps < 40; ++steps) {
@@ -269,4 +307,21 @@
   BOOST_TEST(together.rejected * 2 < alone.rejected);
 }
 
+// Load pattern: the store is away, so that the records of lost targets stay. One check a second keeps each of them
+// reported, however many daemons found it lost.
+BOOST_AUTO_TEST_CASE(lost_targets_stay_reported_at_the_cost_of_one_check_a_second_each)
+{
+  constexpr std::uint64_t seconds_without_calls = 5;
+  loss_at_scale domain;
+  domain.play(true);
+  const std::uint64_t before = domain.checks();
+  for (std::uint64_t steps = 0; steps < 10 * seconds_without_calls; ++steps) {
+    domain.step(true);
+  }
+  BOOST_TEST(domain.checks() - before <= lost_targets * seconds_without_calls);
+  const int rejected = domain.rejected;
+  domain.call();
+  BOOST_TEST(domain.rejected == rejected);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
