Serve with old pages at the start, and wait for members only before the first watch

Change: the first list, of old pages at a tenth of the price, begins at once, and the daemon serves with it; the watch that brings it up to date waits up to 400 ms for a member, which it then asks instead of the store. A large domain's daemons turn to a member between two pages, as before.

Old pages are not confirmed, so that no flow is reset for a missing service, and no record is passed on, before the watch.

--- a/include/coltsfootlock/coordination/steering/source_choice.h
+++ b/include/coltsfootlock/coordination/steering/source_choice.h
@@ -71,6 +71,7 @@
 {
   bool failing = false;   ///< The last calls failed, and another daemon may be followed instead.
   bool callable = true;   ///< The store may be called now, after the delays for its failures and rate.
+  bool has_list = true;   ///< A list has been received, perhaps of old pages.
   bool relisting = false; ///< The store responded that a new list is needed, which is to come from the store as well.
 
   auto operator<=>(const store_condition&) const = default;
@@ -88,8 +89,9 @@
 /// Beyond `max_followers` daemons, the next ones by rank are relays: they follow the reader, and the others are spread
 /// over them. Every daemon follows one of higher rank, so there are no cycles.
 ///
-/// Load pattern: all daemons start at once, or many join. Each asks a seed for members before its first call, and reads
-/// the store only if it has the highest rank of those that are known, or if no seed answers.
+/// Load pattern: all daemons start at once, or many join, while callers wait. Each begins with the old pages of the
+/// store, which are cheap, and asks a seed for members meanwhile. The watch that follows waits for members, and goes to
+/// the store only from the daemon with the highest rank of those that are known, or if no seed answers.
 ///
 /// Load pattern: a reader falls silent, or the store refuses it without an answer. The daemon of the next rank takes
 /// over early, so that the records of the others do not become so old that removed targets get a grace period.
@@ -137,8 +139,8 @@
   /// The response to a daemon of `domain` that registered; `on_member` is called for it before.
   member_list member_list_for(const std::string& domain, instant now) const;
 
-  /// A first call waits this long for a seed's response.
-  static constexpr milliseconds max_member_wait{ 100 };
+  /// The first watch waits this long for a seed's response.
+  static constexpr milliseconds max_member_wait{ 400 };
 
   /// A seed that has not answered a daemon's first request by then may still be starting; the next one is asked.
   static constexpr milliseconds first_seed_timeout{ 200 };
@@ -161,7 +163,7 @@
   /// The source of the next call.
   record_source choose(const store_condition& store, instant now);
 
-  /// The daemon can reach seeds, so that its first call waits for members.
+  /// The daemon can reach seeds, so that its first watch waits for members.
   void expect_members(instant now);
 
   /// Handles a seed's response.
--- a/libraries/coordination/steering/source_choice.cpp
+++ b/libraries/coordination/steering/source_choice.cpp
@@ -170,7 +170,7 @@
 record_source
 source_choice::choose(const store_condition& store, instant now)
 {
-  if (members_awaited_until_ && now < *members_awaited_until_) {
+  if (store.has_list && members_awaited_until_ && now < *members_awaited_until_) {
     return await_members{ *members_awaited_until_ };
   }
   if (store.relisting) {
--- a/programs/coltsfootlockd/carried/record_path.cpp
+++ b/programs/coltsfootlockd/carried/record_path.cpp
@@ -122,8 +122,8 @@
   if (follower_.listing_in_progress() && !sources_.domain_is_large(now)) {
     return true;
   }
-  const store_condition store{ follower_.failures() >= failures_before_fallback && now < store_retry_at_,
-                               now >= follower_.next_wakeup(),
+  const store_condition store{ follower_.failures() >= failures_before_fallback &&
+                                 now<store_retry_at_, now >= follower_.next_wakeup(), follower_.revision()> 0,
                                follower_.relists_from_store() };
   const record_source source = sources_.choose(store, now);
   if (const auto* awaited = std::get_if<await_members>(&source)) {
