--- a/include/coltsfootlock/coordination/steering/source_choice.h
+++ b/include/coltsfootlock/coordination/steering/source_choice.h
@@ -235,7 +235,7 @@
   bool is_successor(instant now) const;
   record_source choose_during_outage(const store_condition& store, instant now);
   duration probe_delay(double share, instant now) const;
-  void end_outage(const std::string& rescuer, instant now);
+  void end_outage(const std::string& source, instant now);
 
   const std::string self_;
   const std::string domain_;
@@ -246,9 +246,9 @@
   std::optional<instant> members_awaited_until_; ///< Until then, or the first member list, no call is made.
   unsigned old_sources_ = 0;                     ///< Sources in a row with old records.
   std::optional<instant> next_probe_;            ///< Of the store, during an outage.
-  bool asks_best_ = true; ///< During an outage, the best member and the others are asked in turn.
-  std::string rescuer_;   ///< The source that ended the last outage; empty for the store.
-  instant rescuer_until_; ///< Until then it is preferred to the sources that had old records.
+  bool asks_best_ = true;         ///< During an outage, the best member and the others are asked in turn.
+  std::string recovery_source_;   ///< The source that ended the last outage; empty for the store.
+  instant recovery_source_until_; ///< Until then it is preferred to the sources that had old records.
 };
 
 }
--- a/libraries/coordination/steering/source_choice.cpp
+++ b/libraries/coordination/steering/source_choice.cpp
@@ -179,13 +179,13 @@
   if (in_outage()) {
     return choose_during_outage(store, now);
   }
-  if (now < rescuer_until_ && !store.failing) {
-    const auto rescuer = members_.find(rescuer_);
-    if (rescuer_.empty()) {
+  if (now < recovery_source_until_ && !store.failing) {
+    const auto source = members_.find(recovery_source_);
+    if (recovery_source_.empty()) {
       return read_store{};
     }
-    if (rescuer != members_.end() && rescuer->second.excluded_until <= now) {
-      return follow_member{ rescuer->second.member, age_tolerance::usual };
+    if (source != members_.end() && source->second.excluded_until <= now) {
+      return follow_member{ source->second.member, age_tolerance::usual };
     }
   }
   auto wanted = peer(now);
@@ -245,13 +245,13 @@
 }
 
 void
-source_choice::end_outage(const std::string& rescuer, instant now)
+source_choice::end_outage(const std::string& source, instant now)
 {
   old_sources_ = 0;
   if (in_outage()) {
     next_probe_.reset();
-    rescuer_ = rescuer;
-    rescuer_until_ = now + initial_exclusion;
+    recovery_source_ = source;
+    recovery_source_until_ = now + initial_exclusion;
   }
 }
 
