review: a copy of a first packet ignores the catalogue in force

Cause: on_repeated_opening forwards a copy to the target of the original without looking up the service again.

Change: review/2 holds a script with stand-ins for the store, hosts, clients and routers, and its claim; review/build.sh builds them.

--- /dev/null
+++ b/review/stand_ins/deployment.cpp
@@ -0,0 +1,108 @@
+#include "deployment.h"
+
+#include <cstdlib>
+#include <exception>
+#include <iostream>
+#include <iterator>
+#include <thread>
+
+#include <unistd.h>
+
+namespace review {
+
+namespace {
+
+fleet::plan
+plan_of(const case_arguments& arguments, const std::string& prefix, const ports& used, std::uint64_t memory_limit)
+{
+  fleet::plan result;
+  result.command = arguments.command;
+  std::ifstream file(arguments.settings_template);
+  result.settings_template = std::string(std::istreambuf_iterator<char>(file), {});
+  result.directory = arguments.directory;
+  result.used_ports = used;
+  result.memory_limit_bytes = memory_limit;
+  const std::vector<std::pair<std::string, int>> zones = { { "almaty-a", 3 }, { "almaty-b", 2 }, { "almaty-c", 2 } };
+  std::string seeds;
+  for (std::size_t zone = 0; zone < zones.size(); ++zone) {
+    for (int number = 1; number <= zones[zone].second; ++number) {
+      const std::string ip = prefix + std::to_string(zone + 1) + "." + std::to_string(number);
+      result.machines.push_back({ "front-" + zones[zone].first + "-" + std::to_string(number), zones[zone].first, ip });
+      if (number == 1) {
+        seeds += (seeds.empty() ? "" : ",") + ip + ":" + std::to_string(used.control);
+      }
+    }
+  }
+  result.common = { { "seeds", seeds },        { "platform.address", prefix + "9.1:" + std::to_string(used.store) },
+                    { "heartbeat-ms", "770" }, { "bounds.flow-lifetime-s", "60" },
+                    { "bounds.grace-s", "6" }, { "limits.link-mbps", "1000.0" } };
+  return result;
+}
+
+}
+
+std::string
+manifest(std::uint64_t version, const std::vector<route>& routes, const std::vector<std::string>& services)
+{
+  std::string text = R"({"version":)" + std::to_string(version) + R"(,"routes":[)";
+  for (std::size_t index = 0; index < routes.size(); ++index) {
+    const route& one = routes[index];
+    const std::string address = to_string(one.address);
+    text += (index == 0 ? "" : ",") + std::string(R"({"name":")") + one.name + R"(","host":")" +
+            address.substr(0, address.find(':')) + R"(","prefix":"/)" + std::to_string(one.address.port) +
+            R"(/","kind":")" + one.kind + R"(","timeout-ms":4000,"latency-goal-ms":300,"priority":2,"service":")" +
+            one.service + R"(","max-attempts":2})";
+  }
+  text += R"(],"services":[)";
+  for (std::size_t index = 0; index < services.size(); ++index) {
+    text += (index == 0 ? "" : ",") + std::string(R"({"name":")") + services[index] +
+            R"(","health-path":"/health","max-conns":2000,"protocol":"h1","tls":false,"warmup-s":2.0,)" +
+            R"("warmup-per-s":0.0})";
+  }
+  return text + R"(],"limits":{"max-header-bytes":16384,"max-body-bytes":262144,"header-timeout-ms":3000,)" +
+         R"("idle-timeout-ms":15000}})";
+}
+
+deployment::deployment(const case_arguments& arguments, std::uint64_t memory_limit_bytes)
+  : record(arguments.record)
+  , prefix(loopback_prefix())
+  , used_ports{ 8172, 8167, 8166, 8169 }
+  , records(prefix + "9.1", used_ports.store)
+  , daemons(plan_of(arguments, prefix, used_ports, memory_limit_bytes), record)
+  , traffic(daemons, used_ports, records, record)
+{
+}
+
+int
+run_case(int argc, char** argv, const std::function<int(const case_arguments&)>& play)
+{
+  if (argc != 5) {
+    std::cerr << "usage: case COMMAND TEMPLATE DIRECTORY RECORD\n";
+    return could_not_run;
+  }
+  const char* trouble = std::getenv("TROUBLE");
+  const bool has_trouble = trouble == nullptr || std::string(trouble) != "0";
+  int result = could_not_run;
+  try {
+    result = play({ argv[1], argv[2], argv[3], argv[4], has_trouble });
+  } catch (const std::exception& problem) {
+    std::cerr << "the case could not run: " << problem.what() << "\n";
+  }
+  std::cout.flush();
+  std::_Exit(result); // The threads of the store serve until the end.
+}
+
+bool
+wait_until(const std::function<bool()>& condition, std::chrono::milliseconds limit)
+{
+  const auto end = steady::now() + limit;
+  while (!condition()) {
+    if (steady::now() > end) {
+      return false;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  return true;
+}
+
+}
