review: an entry without its start time resets open flows

Cause: read_target takes a missing field born as incarnation 0, so that the target counts as restarted although it runs on.

--- a/review/stand_ins/network.cpp
+++ b/review/stand_ins/network.cpp
@@ -1,6 +1,7 @@
 #include "network.h"
 
 #include <array>
+#include <cstdlib>
 #include <cstring>
 #include <stdexcept>
 
@@ -20,6 +21,13 @@
 constexpr std::chrono::milliseconds second_copy{ 600 };
 constexpr std::chrono::milliseconds open_timeout{ 1400 };
 constexpr std::chrono::milliseconds longest_retransmission{ 1600 };
+constexpr std::chrono::milliseconds time_budget{ 4000 };
+
+/// The sum of packets of hosts and clients; resets of the system have 0.
+constexpr std::uint32_t sum_of_ends = 0x5eed;
+
+/// A reset of the system is valid if its sequence number is this close to the client's last acknowledgement.
+constexpr std::uint32_t reset_window = 76800;
 
 sockaddr_in
 system_address(const endpoint& value)
@@ -245,6 +253,7 @@
         on_host_datagram(one, *bytes);
       }
       answer_health_check(one.listener);
+      send_due_responses(one, steady::now());
     }
     for (const client& one : clients_) {
       while (const auto bytes = receive_datagram(one.socket)) {
@@ -268,6 +277,7 @@
 {
   content.source = key.route;
   content.destination = key.client;
+  content.sum = sum_of_ends;
   send_datagram(self.socket, { key.client.address, ports_.datagram }, encode(content));
 }
 
@@ -342,7 +352,23 @@
     flow.response =
       "HTTP/1.1 200 OK\r\nColtsfootlock-Response-Stamp: " + self.id + "-" + id + "\r\nContent-Length: 2\r\n\r\nok";
     runs_[key] = self.service;
+    flow.response_due = steady::now() + work_;
+  }
+  if (!flow.response_due) {
+    send_response(self, key, flow);
+  } else if (work_.count() > 0) {
+    packet answer;
+    answer.flags = flag::acknowledge;
+    answer.echo = flow.echo;
+    answer.sequence = flow.sequence + 1;
+    answer.acknowledged = flow.expected;
+    send_to_client(self, key, std::move(answer));
   }
+}
+
+void
+network::send_response(const host& self, const flow_key& key, const host_flow& flow) const
+{
   packet answer;
   answer.flags = flag::acknowledge;
   answer.echo = flow.echo;
@@ -352,6 +378,17 @@
   send_to_client(self, key, std::move(answer));
 }
 
+void
+network::send_due_responses(host& self, steady::time_point now) const
+{
+  for (auto& [key, flow] : self.flows) {
+    if (flow.response_due && now >= *flow.response_due) {
+      flow.response_due.reset();
+      send_response(self, key, flow);
+    }
+  }
+}
+
 void
 network::send_from_client(const flow_key& key, client_flow& flow, packet content)
 {
@@ -359,6 +396,7 @@
   content.source = key.client;
   content.destination = key.route;
   content.echo = flow.echo;
+  content.sum = sum_of_ends;
   if ((content.flags & flag::open) == 0) {
     content.sequence = flow.sequence + 1;
     content.acknowledged = flow.expected;
@@ -401,8 +439,7 @@
   const flow_key& key = found->first;
   client_flow& flow = found->second;
   if ((received->flags & flag::reset) != 0) {
-    ++failed_;
-    flow.state = phase::ended;
+    on_reset(key, flow, *received);
     return;
   }
   if ((received->flags & flag::open) != 0) {
@@ -418,6 +455,11 @@
     return;
   }
   flow.echo = received->echo;
+  const std::uint32_t sent_up_to = flow.sequence + 1 + static_cast<std::uint32_t>(flow.request.size());
+  if (received->data.empty() && flow.state == phase::waiting && received->acknowledged == sent_up_to) {
+    flow.next_sending = steady::now() + time_budget; // The host has the request.
+    return;
+  }
   if (received->data.empty() || received->sequence != flow.expected || flow.state != phase::waiting) {
     return;
   }
@@ -431,6 +473,34 @@
   send_from_client(key, flow, std::move(content));
 }
 
+void
+network::on_reset(const flow_key& key, client_flow& flow, const packet& received)
+{
+  const bool by_system = received.sum == 0;
+  const bool open = flow.state != phase::opening;
+  const auto distance = static_cast<std::int32_t>(received.sequence - flow.expected);
+  if (by_system && open && static_cast<std::uint32_t>(std::abs(distance)) > reset_window) {
+    return;
+  }
+  if (by_system && open) {
+    for (const host& one : hosts_) {
+      const auto held = one.flows.find(key);
+      if (held != one.flows.end()) {
+        cut_.push_back({ key, one.id, held->second.response_due.has_value(), steady::now() });
+      }
+    }
+  }
+  ++failed_;
+  flow.state = phase::ended;
+}
+
+std::vector<cut_flow>
+network::cut_flows()
+{
+  const std::lock_guard lock(mutex_);
+  return cut_;
+}
+
 void
 network::tick(const flow_key& key, client_flow& flow, steady::time_point now)
 {
--- a/review/stand_ins/network.h
+++ b/review/stand_ins/network.h
@@ -37,6 +37,15 @@
   steady::time_point at;
 };
 
+/// An open flow that the client lost to a reset of the system.
+struct cut_flow
+{
+  flow_key flow;
+  std::string host;
+  bool runs = false; ///< The host had begun to run a request of the flow, and the client had no answer.
+  steady::time_point at;
+};
+
 /// A first packet or a copy that a client sent.
 struct sent_open
 {
@@ -74,6 +83,10 @@
   std::map<flow_key, std::vector<sent_open>> sent_opens();
   /// The services at which requests of a flow were run.
   std::map<flow_key, std::string> runs();
+  /// Resets of the system on flows that were open at a host which holds them still.
+  std::vector<cut_flow> cut_flows();
+  /// Time that hosts take to run a request; none at first. Only before `start`.
+  void set_work(std::chrono::milliseconds time) { work_ = time; }
   std::size_t answered() const { return answered_; }
   std::size_t failed() const { return failed_; }
 
@@ -84,6 +97,7 @@
     std::uint32_t expected = 0; ///< Next sequence number of the client.
     std::uint32_t echo = 0;
     std::string response;
+    std::optional<steady::time_point> response_due; ///< While a request runs.
   };
   struct host
   {
@@ -127,6 +141,9 @@
   void run();
   void on_host_datagram(host& self, const std::string& bytes);
   void on_request(host& self, const flow_key& key, host_flow& flow, const packet& received);
+  void send_response(const host& self, const flow_key& key, const host_flow& flow) const;
+  void send_due_responses(host& self, steady::time_point now) const;
+  void on_reset(const flow_key& key, client_flow& flow, const packet& received);
   void send_to_client(const host& self, const flow_key& key, packet content) const;
   void on_client_datagram(const std::string& bytes);
   void send_from_client(const flow_key& key, client_flow& flow, packet content);
@@ -142,6 +159,8 @@
   std::mutex mutex_;
   std::map<flow_key, client_flow> flows_;
   std::vector<taken_open> taken_;
+  std::vector<cut_flow> cut_;
+  std::chrono::milliseconds work_{ 0 };
   std::map<flow_key, std::vector<sent_open>> sent_;
   std::map<flow_key, std::string> runs_;
   std::minstd_rand random_{ 1 };
