review: a third machine keeps sending to leaving hosts

Cause: a daemon tries its sources one after the other, and no limit holds for the age of its records over all of them.

The stand-in store reaches each machine on an address of its own, so that one can be partitioned.

--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -1,7 +1,10 @@
 #include "../stand_ins/deployment.h"
 
+#include <algorithm>
 #include <chrono>
+#include <csignal>
 #include <iostream>
+#include <optional>
 #include <thread>
 
 using namespace review;
@@ -9,79 +12,176 @@
 
 namespace {
 
-constexpr std::size_t flows = 300;
-constexpr auto request_interval = 2s;
-constexpr auto work = 72ms; // swap-confirm
-constexpr auto heartbeat = 770ms;
+// As on the sheet of trolley-hub.
+const zone_plan zones = { { "lisboa-a", 3 }, { "lisboa-b", 3 }, { "lisboa-c", 2 }, { "lisboa-d", 1 } };
+const std::vector<std::size_t> hosts_of_zone = { 4, 4, 3, 3 };
+constexpr std::size_t machines_of_zone_a = 3;
+constexpr std::size_t drained_hosts = 3; // Of 18.
+constexpr auto change_lead = 15ms;       // How long before the cut another record changes.
+constexpr auto drain_time = 3000ms;      // drain-ms
+constexpr auto freeze_time = 4s;
+constexpr auto cut_time = 5500ms;
 
 std::string
-entry(const std::string& address, const std::string& born, int sequence)
+entry(const std::string& zone, const std::string& address, const std::string& state)
 {
-  return R"({"service":"link","address":")" + address + R"(","zone":"almaty-a","version":"v1","slots":4,)" +
-         R"("state":"ready","warmup-left-ms":0,"seq":)" + std::to_string(sequence) + born + "}";
+  static int sequence = 9;
+  return R"({"service":"baylink","address":")" + address + R"(","zone":")" + zone +
+         R"(","version":"v1","slots":2,"state":")" + state + R"(","warmup-left-ms":0,"seq":)" +
+         std::to_string(++sequence) + R"(,"born":1790000000000})";
+}
+
+/// The machines of the first zone that read the store during `time`.
+std::vector<std::size_t>
+readers(deployment& here, std::chrono::milliseconds time)
+{
+  std::vector<std::size_t> before;
+  for (std::size_t index = 0; index < machines_of_zone_a; ++index) {
+    before.push_back(here.records.watches(index));
+  }
+  std::this_thread::sleep_for(time);
+  std::vector<std::size_t> result;
+  for (std::size_t index = 0; index < machines_of_zone_a; ++index) {
+    if (here.records.watches(index) > before[index]) {
+      result.push_back(index);
+    }
+  }
+  return result;
+}
+
+/// The machine that reads the store alone, once the zone has settled.
+std::optional<std::size_t>
+only_reader(deployment& here)
+{
+  for (int attempt = 0; attempt < 12; ++attempt) {
+    const auto found = readers(here, 3s);
+    if (found.size() == 1) {
+      return found.front();
+    }
+  }
+  return std::nullopt;
 }
 
 int
 play(const case_arguments& arguments)
 {
-  deployment here(arguments, 0);
-  const endpoint confirm{ address_number(here.prefix + "250.1"), 443 };
-  const std::vector<std::string> zones = { "almaty-a", "almaty-b", "almaty-c" };
-  here.records.put("op/config", manifest(7, { { "r-confirm", confirm, "non_idempotent", "link" } }, { "link" }));
-  here.traffic.set_work(work);
-  const auto born =
-    std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
-  const std::string born_field = R"(,"born":)" + std::to_string(born.count());
-  for (std::size_t index = 0; index < zones.size(); ++index) {
-    for (int copy = 1; copy <= 2; ++copy) {
-      const std::string number = std::to_string(2 * index + static_cast<std::size_t>(copy));
-      here.traffic.add_host("i-a0b1c2d" + number, "link", zones[index], here.prefix + "20." + number, 8080, 2000);
-    }
-    for (int copy = 0; copy < 5; ++copy) {
-      here.traffic.add_client(here.prefix + "30." + std::to_string(10 * index + static_cast<std::size_t>(copy) + 1),
-                              zones[index]);
+  deployment here(arguments, 0, zones, "1200");
+  const endpoint status{ address_number(here.prefix + "250.1"), 443 };
+  here.records.put("op/config", manifest(7, { { "r-status", status, "idempotent", "baylink" } }, { "baylink" }));
+  std::vector<std::pair<std::string, std::string>> hosts_of_zone_a; // Id and address.
+  std::size_t host = 0;
+  for (std::size_t zone = 0; zone < zones.size(); ++zone) {
+    for (std::size_t count = 0; count < hosts_of_zone[zone]; ++count) {
+      ++host;
+      const std::string id = "i-a0b1c2d" + std::to_string(10 + host);
+      const std::string ip = here.prefix + "20." + std::to_string(host);
+      here.traffic.add_host(id, "baylink", zones[zone].first, ip, 8080, 2000);
+      here.records.put("servers/" + id, entry(zones[zone].first, ip + ":8080", "ready"));
+      if (zone == 0) {
+        hosts_of_zone_a.emplace_back(id, ip + ":8080");
+      }
     }
   }
-  const std::string key = "servers/i-a0b1c2d1";
-  const std::string address = here.prefix + "20.1:8080";
-  here.records.put(key, entry(address, born_field, 1));
+  for (int index = 1; index <= 20; ++index) {
+    here.traffic.add_client(here.prefix + "30." + std::to_string(index), zones.front().first);
+  }
   here.daemons.start();
   here.traffic.start();
   if (!wait_until([&here] { return here.daemons.all_ready(); }, 15s)) {
     std::cerr << "the daemons are not ready\n";
     return could_not_run;
   }
-  for (std::size_t count = 0; count < flows; ++count) {
-    here.traffic.open_flow(confirm, request_interval);
-    std::this_thread::sleep_for(10ms);
+  // Finds the reader of the zone, and which machine takes over from it, by a short partition long before the case.
+  const auto reader = only_reader(here);
+  if (!reader) {
+    std::cerr << "the zone has no single reader\n";
+    return could_not_run;
   }
-  std::this_thread::sleep_for(10s);
-  here.record.line("open flows: " + std::to_string(here.traffic.open_flows(confirm)));
-  if (arguments.trouble) {
-    here.record.line("another writer writes " + key + " without the field born");
-    here.records.put(key, entry(address, "", 14));
+  here.records.partition(*reader, true);
+  std::optional<std::size_t> successor;
+  for (int attempt = 0; attempt < 60 && !successor; ++attempt) {
+    for (const std::size_t index : readers(here, 50ms)) {
+      successor = index == *reader ? successor : index;
+    }
+  }
+  here.records.partition(*reader, false);
+  std::optional<std::size_t> third;
+  for (std::size_t index = 0; index < machines_of_zone_a; ++index) {
+    third = index == *reader || index == successor ? third : index;
+  }
+  if (!successor || !third) {
+    std::cerr << "the order of the machines is not clear\n";
+    return could_not_run;
   }
-  std::this_thread::sleep_for(heartbeat);
-  here.record.line("the host writes " + key + " again");
-  here.records.put(key, entry(address, born_field, 15));
-  std::this_thread::sleep_for(10s);
-  std::size_t lost_answers = 0;
-  for (const cut_flow& cut : here.traffic.cut_flows()) {
-    lost_answers += cut.runs ? 1 : 0;
-    here.record.line("FLOW: client " + to_string(cut.flow.client) + " got a reset of the system; its flow is open at " +
-                     cut.host + (cut.runs ? ", which runs a request of it" : ""));
+  std::this_thread::sleep_for(8s);
+  if (only_reader(here) != reader) {
+    std::cerr << "the zone has not settled\n";
+    return could_not_run;
+  }
+  const auto& machines = here.daemons.machines();
+  here.record.line("reader " + machines[*reader].name + ", successor " + machines[*successor].name + ", third " +
+                   machines[*third].name);
+  const auto begin = steady::now();
+  std::optional<steady::time_point> drained_at;
+  bool changed = false;
+  bool cut = false;
+  bool frozen = false;
+  while (steady::now() - begin < 9s) {
+    const auto passed = steady::now() - begin - 2s;
+    here.traffic.open_flow(status, 1s);
+    here.traffic.close_flows(status, 1);
+    if (!changed && passed >= -change_lead) { // Another host of the release has just started.
+      const auto& [id, address] = hosts_of_zone_a.back();
+      here.records.put("servers/" + id, entry(zones.front().first, address, "ready"));
+      changed = true;
+    }
+    if (arguments.trouble && !cut && passed >= 0s && passed < 1s) {
+      here.record.line("partitions " + machines[*reader].name + " from the store");
+      here.records.partition(*reader, true);
+      here.daemons.signal(*successor, SIGSTOP);
+      cut = true;
+      frozen = true;
+    }
+    if (!drained_at && passed >= 5ms) {
+      for (std::size_t index = 0; index < drained_hosts; ++index) {
+        const auto& [id, address] = hosts_of_zone_a[index];
+        here.records.put("servers/" + id, entry(zones.front().first, address, "draining"));
+        here.record.line(id + " is leaving, acknowledged by the store");
+      }
+      drained_at = steady::now();
+    }
+    if (frozen && passed >= freeze_time) {
+      here.daemons.signal(*successor, SIGCONT);
+      frozen = false;
+    }
+    if (cut && passed >= cut_time) {
+      here.records.partition(*reader, false);
+      cut = false;
+    }
+    std::this_thread::sleep_for(8ms);
+  }
+  std::size_t late = 0;
+  const auto opens = here.traffic.sent_opens();
+  for (const taken_open& taken : here.traffic.taken_opens()) {
+    const auto drained_end = hosts_of_zone_a.begin() + drained_hosts;
+    const bool drained =
+      std::any_of(hosts_of_zone_a.begin(), drained_end, [&taken](const auto& one) { return one.first == taken.host; });
+    const std::size_t daemon = opens.at(taken.flow).at(taken.copy).daemon;
+    if (drained && daemon == *third && taken.at > *drained_at + drain_time) {
+      ++late;
+      const auto time = std::chrono::duration_cast<std::chrono::milliseconds>(taken.at - *drained_at);
+      here.record.line("DRAIN: " + taken.host + " got a flow through " + machines[daemon].name + " " +
+                       std::to_string(time.count()) + " ms after the store acknowledged that it leaves");
+    }
   }
-  const std::size_t cuts = here.traffic.cut_flows().size();
   const std::string summary = "requests answered " + std::to_string(here.traffic.answered()) +
-                              ", open flows cut by the system " + std::to_string(cuts) +
-                              ", of these while a request that must not be repeated was running " +
-                              std::to_string(lost_answers);
+                              ", new flows that reached a leaving host too late " + std::to_string(late);
   here.record.line(summary);
   std::cout << summary << "\n";
   if (here.traffic.answered() == 0) {
     return could_not_run;
   }
-  return cuts > 0 ? rule_broken : rule_held;
+  return late > 0 ? rule_broken : rule_held;
 }
 
 }
--- a/review/stand_ins/fleet.cpp
+++ b/review/stand_ins/fleet.cpp
@@ -66,6 +66,7 @@
 fleet::write_settings(const machine& where) const
 {
   settings values = plan_.common;
+  values["platform.address"] = where.store_address;
   const auto at = [&where](std::uint16_t port) { return where.ip + ":" + std::to_string(port); };
   values["node-name"] = where.name;
   values["zone"] = where.zone;
--- a/review/stand_ins/fleet.h
+++ b/review/stand_ins/fleet.h
@@ -20,6 +20,7 @@
   std::string name;
   std::string zone;
   std::string ip;
+  std::string store_address; ///< Where this machine reaches the store.
 };
 
 struct ports
