--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -26,16 +26,17 @@
                   const std::string& new_service,
                   const endpoint& route)
 {
+  const std::vector<taken_open> all_taken = here.traffic.taken_opens();
   const auto opens = here.traffic.sent_opens();
   const auto runs = here.traffic.runs();
   std::map<std::size_t, steady::time_point> effects; // By daemon.
-  for (const taken_open& taken : here.traffic.taken_opens()) {
+  for (const taken_open& taken : all_taken) {
     if (taken.service == new_service && taken.flow.route == route) {
       effects.try_emplace(opens.at(taken.flow).at(taken.copy).daemon, taken.at);
     }
   }
   std::size_t result = 0;
-  for (const taken_open& taken : here.traffic.taken_opens()) {
+  for (const taken_open& taken : all_taken) {
     const sent_open& sent = opens.at(taken.flow).at(taken.copy);
     const auto effect = effects.find(sent.daemon);
     const auto run = runs.find(taken.flow);
@@ -63,10 +64,18 @@
   here.records.put("op/config", manifest(7, { { "r-feed", feed, "idempotent", "old-link" } }, services));
   for (std::size_t index = 0; index < hosts_of_old_service; ++index) {
     const std::string number = std::to_string(index + 1);
-    here.traffic.add_host(
-      "i-a0b1c2d" + number, "old-link", zones[index], here.prefix + "20." + number, 8080, max_connections);
-    here.traffic.add_host(
-      "i-e0f1a2b" + number, "new-link", zones[index], here.prefix + "21." + number, 8080, max_connections);
+    here.traffic.add_host("i-a0b1c2d" + number,
+                          "old-link",
+                          zones[index],
+                          here.prefix + "20." + number,
+                          here.used_ports.host,
+                          max_connections);
+    here.traffic.add_host("i-e0f1a2b" + number,
+                          "new-link",
+                          zones[index],
+                          here.prefix + "21." + number,
+                          here.used_ports.host,
+                          max_connections);
   }
   for (int index = 0; index < 30; ++index) {
     here.traffic.add_client(here.prefix + "30." + std::to_string(index + 1),
--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -23,12 +23,12 @@
 constexpr auto cut_time = 5500ms;
 
 std::string
-entry(const std::string& zone, const std::string& address, const std::string& state)
+entry(const std::string& zone, const std::string& address, const std::string& state, const std::string& version = "v1")
 {
   static int sequence = 9;
-  return R"({"service":"baylink","address":")" + address + R"(","zone":")" + zone +
-         R"(","version":"v1","slots":2,"state":")" + state + R"(","warmup-left-ms":0,"seq":)" +
-         std::to_string(++sequence) + R"(,"born":1790000000000})";
+  return R"({"service":"baylink","address":")" + address + R"(","zone":")" + zone + R"(","version":")" + version +
+         R"(","slots":2,"state":")" + state + R"(","warmup-left-ms":0,"seq":)" + std::to_string(++sequence) +
+         R"(,"born":1790000000000})";
 }
 
 /// The machines of the first zone that read the store during `time`.
@@ -66,6 +66,7 @@
 play(const case_arguments& arguments)
 {
   deployment here(arguments, 0, zones, "1200");
+  const std::string host_port = ":" + std::to_string(here.used_ports.host);
   const endpoint status{ address_number(here.prefix + "250.1"), 443 };
   here.records.put("op/config", manifest(7, { { "r-status", status, "idempotent", "baylink" } }, { "baylink" }));
   std::vector<std::pair<std::string, std::string>> hosts_of_zone_a; // Id and address.
@@ -75,10 +76,10 @@
       ++host;
       const std::string id = "i-a0b1c2d" + std::to_string(10 + host);
       const std::string ip = here.prefix + "20." + std::to_string(host);
-      here.traffic.add_host(id, "baylink", zones[zone].first, ip, 8080, 2000);
-      here.records.put("servers/" + id, entry(zones[zone].first, ip + ":8080", "ready"));
+      here.traffic.add_host(id, "baylink", zones[zone].first, ip, here.used_ports.host, 2000);
+      here.records.put("servers/" + id, entry(zones[zone].first, ip + host_port, "ready"));
       if (zone == 0) {
-        hosts_of_zone_a.emplace_back(id, ip + ":8080");
+        hosts_of_zone_a.emplace_back(id, ip + host_port);
       }
     }
   }
@@ -91,6 +92,7 @@
     std::cerr << "the daemons are not ready\n";
     return could_not_run;
   }
+  std::this_thread::sleep_for(10s); // Until all machines know each other.
   // Finds the reader of the zone, and which machine takes over from it, by a short partition long before the case.
   const auto reader = only_reader(here);
   if (!reader) {
@@ -99,8 +101,8 @@
   }
   here.records.partition(*reader, true);
   std::optional<std::size_t> successor;
-  for (int attempt = 0; attempt < 60 && !successor; ++attempt) {
-    for (const std::size_t index : readers(here, 50ms)) {
+  for (int attempt = 0; attempt < 300 && !successor; ++attempt) {
+    for (const std::size_t index : readers(here, 10ms)) {
       successor = index == *reader ? successor : index;
     }
   }
@@ -124,25 +126,28 @@
   const auto begin = steady::now();
   std::optional<steady::time_point> drained_at;
   bool changed = false;
+  std::size_t watches_before = 0;
   bool cut = false;
   bool frozen = false;
   while (steady::now() - begin < 9s) {
     const auto passed = steady::now() - begin - 2s;
     here.traffic.open_flow(status, 1s);
     here.traffic.close_flows(status, 1);
-    if (!changed && passed >= -change_lead) { // Another host of the release has just started.
+    if (!changed && passed >= 0s) { // Another host of the zone has just changed its entry.
+      watches_before = here.records.watches(*reader);
       const auto& [id, address] = hosts_of_zone_a.back();
-      here.records.put("servers/" + id, entry(zones.front().first, address, "ready"));
+      here.records.put("servers/" + id, entry(zones.front().first, address, "ready", "v2"));
       changed = true;
     }
-    if (arguments.trouble && !cut && passed >= 0s && passed < 1s) {
-      here.record.line("partitions " + machines[*reader].name + " from the store");
-      here.records.partition(*reader, true);
-      here.daemons.signal(*successor, SIGSTOP);
-      cut = true;
-      frozen = true;
-    }
-    if (!drained_at && passed >= 5ms) {
+    // The reader has that change as soon as it asks for the next one.
+    if (changed && !drained_at && (here.records.watches(*reader) > watches_before || passed > 1s)) {
+      if (arguments.trouble) {
+        here.record.line("partitions " + machines[*reader].name + " from the store");
+        here.records.partition(*reader, true);
+        here.daemons.signal(*successor, SIGSTOP);
+        cut = true;
+        frozen = true;
+      }
       for (std::size_t index = 0; index < drained_hosts; ++index) {
         const auto& [id, address] = hosts_of_zone_a[index];
         here.records.put("servers/" + id, entry(zones.front().first, address, "draining"));
@@ -161,8 +166,9 @@
     std::this_thread::sleep_for(8ms);
   }
   std::size_t late = 0;
+  const std::vector<taken_open> all_taken = here.traffic.taken_opens();
   const auto opens = here.traffic.sent_opens();
-  for (const taken_open& taken : here.traffic.taken_opens()) {
+  for (const taken_open& taken : all_taken) {
     const auto drained_end = hosts_of_zone_a.begin() + drained_hosts;
     const bool drained =
       std::any_of(hosts_of_zone_a.begin(), drained_end, [&taken](const auto& one) { return one.first == taken.host; });
--- a/review/stand_ins/deployment.cpp
+++ b/review/stand_ins/deployment.cpp
@@ -24,6 +24,26 @@
   return result;
 }
 
+/// The store is never destroyed, since its threads run until run_case() ends the process.
+store&
+start_store(const std::vector<std::string>& addresses, std::uint16_t port)
+{
+  static const auto kept = std::make_unique<store>(addresses, port);
+  return *kept;
+}
+
+ports
+free_ports()
+{
+  ports result;
+  result.datagram = free_port(8160);
+  result.ready = free_port(result.datagram + 1);
+  result.control = free_port(result.ready + 1);
+  result.store = free_port(result.control + 1);
+  result.host = free_port(result.store + 1);
+  return result;
+}
+
 fleet::plan
 plan_of(const case_arguments& arguments,
         const std::string& prefix,
@@ -90,8 +110,8 @@
                        const std::string& heartbeat_ms)
   : record(arguments.record)
   , prefix(loopback_prefix())
-  , used_ports{ 8172, 8167, 8166, 8169 }
-  , records(store_addresses(prefix, zones), used_ports.store)
+  , used_ports(free_ports())
+  , records(start_store(store_addresses(prefix, zones), used_ports.store))
   , daemons(plan_of(arguments, prefix, used_ports, memory_limit_bytes, zones, heartbeat_ms), record)
   , traffic(daemons, used_ports, records, record)
 {
--- a/review/stand_ins/deployment.h
+++ b/review/stand_ins/deployment.h
@@ -57,7 +57,7 @@
   record_file record;
   std::string prefix; ///< Of all addresses.
   ports used_ports;
-  store records;
+  store& records; ///< Serves until the process ends.
   fleet daemons;
   network traffic;
 };
--- a/review/stand_ins/fleet.h
+++ b/review/stand_ins/fleet.h
@@ -29,6 +29,7 @@
   std::uint16_t ready = 0;
   std::uint16_t control = 0;
   std::uint16_t store = 0;
+  std::uint16_t host = 0;
 };
 
 /// Settings under the names of the platform ("bounds.grace-s"), for the placeholders of the template.
--- a/review/stand_ins/network.cpp
+++ b/review/stand_ins/network.cpp
@@ -45,7 +45,9 @@
   const int descriptor = ::socket(AF_INET, type | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   const int on = 1;
   const int buffer = 4 << 20;
-  ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  if (type == SOCK_STREAM) {
+    ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  }
   ::setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof(buffer));
   const sockaddr_in address = system_address(local);
   if (::bind(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0) {
@@ -102,6 +104,24 @@
   return ntohl(result.s_addr);
 }
 
+std::uint16_t
+free_port(std::uint16_t from)
+{
+  for (std::uint32_t port = from; port <= 65535; ++port) {
+    bool free = true;
+    for (const int type : { SOCK_STREAM, SOCK_DGRAM }) {
+      const int descriptor = ::socket(AF_INET, type | SOCK_CLOEXEC, 0);
+      const sockaddr_in any = system_address({ 0, static_cast<std::uint16_t>(port) });
+      free = free && ::bind(descriptor, reinterpret_cast<const sockaddr*>(&any), sizeof(any)) == 0;
+      ::close(descriptor);
+    }
+    if (free) {
+      return static_cast<std::uint16_t>(port);
+    }
+  }
+  throw std::runtime_error("no free port");
+}
+
 std::string
 loopback_prefix()
 {
--- a/review/stand_ins/network.h
+++ b/review/stand_ins/network.h
@@ -177,6 +177,10 @@
 std::uint32_t
 address_number(const std::string& ip);
 
+/// The first port from `from` on that nothing on this machine uses.
+std::uint16_t
+free_port(std::uint16_t from);
+
 /// An unused prefix of loopback addresses such as "127.83." for this run.
 std::string
 loopback_prefix();
