Hold copies of first packets to the catalogue in force

Cause: a copy was forwarded to the target of the original if that target was present, not leaving, in service and alive. Only first packets were checked against the catalogue. A late copy of an open flow was forwarded without any check.

Ruled out: old records at a daemon, packets that waited in a socket, placement by another daemon.

Change: one condition, accepts_opening, for first packets and copies. A copy whose target no longer qualifies is placed like a first packet; a late copy of an open flow is dropped then.

--- a/include/coltsfootlock/coordination/steering/steering_decision.h
+++ b/include/coltsfootlock/coordination/steering/steering_decision.h
@@ -36,13 +36,14 @@
   stale_records,    ///< The service is unknown, but the records are too old to reset the flow for that reason.
   unknown_target,   ///< No target has the token of the packet.
   ambiguous_target, ///< Several targets have the token of the packet.
-  late_open ///< A first packet that was queued while the process was paused; its copies may have opened the flow
-            ///< elsewhere.
+  late_open, ///< A first packet that was queued while the process was paused; its copies may have opened the flow
+             ///< elsewhere.
+  outdated_copy ///< A copy of a first packet whose flow is open at a target that gets no new flows of the service.
 };
 
 inline constexpr std::size_t forward_reason_count = 4;
 inline constexpr std::size_t flow_end_reason_count = 5;
-inline constexpr std::size_t drop_reason_count = 5;
+inline constexpr std::size_t drop_reason_count = 6;
 
 const char*
 to_string(forward_reason value);
--- a/include/coltsfootlock/coordination/steering/steering_engine.h
+++ b/include/coltsfootlock/coordination/steering/steering_engine.h
@@ -121,6 +121,7 @@
   steering_decision on_established(const carried_packet& packet, instant now);
   steering_decision place(const carried_packet& packet, const vm_id& avoided, instant now);
   target_state* find_named_target(const carried_packet& packet, drop_reason& why);
+  bool accepts_opening(const flow_key& flow, target_state& target, instant now);
   std::optional<placement_condition> condition_of(target_state& target, instant now);
   void observe_packet(const carried_packet& packet, target_state& target, instant now);
   void suspect(target_state& target, const char* evidence, instant now);
--- a/libraries/coordination/steering/flow_opening_decisions.cpp
+++ b/libraries/coordination/steering/flow_opening_decisions.cpp
@@ -21,7 +21,12 @@
     return on_repeated_opening(packet, *flow, now);
   }
   if (target_state* target = targets_.find(flow->target); target != nullptr && packet.acknowledged > 0) {
-    return forward(forward_reason::repeated, *target); // A late copy: the flow is open at this target.
+    if (accepts_opening(packet.flow, *target, now)) {
+      return forward(forward_reason::repeated, *target); // A late copy: the flow is open at this target.
+    }
+    if (!flow->closing && now - flow->opened < steering_timing::open_timeout) {
+      return drop(drop_reason::outdated_copy);
+    }
   }
   release_flow(*flow);
   flows_.erase(packet.flow);
@@ -35,7 +40,7 @@
 steering_engine::on_repeated_opening(const carried_packet& packet, carried_flow& flow, instant now)
 {
   target_state* target = targets_.find(flow.target);
-  const bool usable = target != nullptr && target->phase == target_phase::present && condition_of(*target, now);
+  const bool usable = target != nullptr && accepts_opening(packet.flow, *target, now);
   const bool early = now - flow.last_packet < steering_timing::min_retransmission_gap;
   const bool alive = target != nullptr && target->last_progress > flow.last_packet;
   if (usable && (early || alive)) {
@@ -55,6 +60,18 @@
   return decision;
 }
 
+/// True if the catalogue and the records in force allow that a first packet of this flow is sent to the target.
+///
+/// Load pattern: the operator moves a service to another group, or takes it out of the catalogue, while callers repeat
+/// first packets that its full targets do not answer.
+bool
+steering_engine::accepts_opening(const flow_key& flow, target_state& target, instant now)
+{
+  const service* wanted = services_.find(flow.service);
+  return wanted != nullptr && target.phase == target_phase::present &&
+         target.record.vm.target_group == services_.group_for(*wanted, flow) && condition_of(target, now).has_value();
+}
+
 /// Empty if the target gets no new flows.
 std::optional<placement_condition>
 steering_engine::condition_of(target_state& target, instant now)
--- a/libraries/coordination/steering/steering_decision.cpp
+++ b/libraries/coordination/steering/steering_decision.cpp
@@ -68,6 +68,8 @@
       return "ambiguous_target";
     case drop_reason::late_open:
       return "late_open";
+    case drop_reason::outdated_copy:
+      return "outdated_copy";
   }
   return "unknown";
 }
--- a/libraries/coordination/steering/tests/test_steering_engine.cpp
+++ b/libraries/coordination/steering/tests/test_steering_engine.cpp
@@ -176,6 +176,55 @@
   BOOST_TEST(tag_of(open(flow_of(1), 1)) == first);
 }
 
+// Regression, review/4: the old service of a moved route ran flows whose copies were sent after the move. Its targets
+// were full, but alive on other flows, so that the copy went to the target of the original.
+BOOST_AUTO_TEST_CASE(a_copy_follows_the_catalogue_in_force)
+{
+  publish(make_target(1, "a"));
+  publish(make_target(2, "a", "new"));
+  BOOST_TEST(tag_of(open(flow_of(1))) == 1U);
+  now += milliseconds(200);
+  establish(flow_of(2)); // The target is alive.
+  publish_catalogue(2, { make_service(feed, "new") });
+  BOOST_TEST(tag_of(open(flow_of(1), 1)) == 2U);
+  now += milliseconds(10); // Early: both copies were queued in the daemon's socket.
+  publish_catalogue(3, { make_service(feed, "feed") });
+  BOOST_TEST(tag_of(open(flow_of(1), 2)) == 1U);
+}
+
+// The same for a service that left the catalogue, a split with other weights, and a target that joined another group.
+BOOST_AUTO_TEST_CASE(a_copy_is_placed_like_a_first_packet_when_its_target_is_no_longer_allowed)
+{
+  publish(make_target(1, "a"));
+  publish(make_target(2, "a", "new"));
+  open(flow_of(1));
+  open(flow_of(2));
+  open(flow_of(3));
+  service split = make_service(feed, "feed");
+  split.split = { { "feed", 0 }, { "new", 1 } };
+  publish_catalogue(2, { split });
+  BOOST_TEST(tag_of(open(flow_of(1), 1)) == 2U);
+  publish_catalogue(3, {});
+  BOOST_TEST((reset_reason_of(open(flow_of(2), 1)) == flow_end_reason::no_service));
+  publish_catalogue(4, { make_service(feed, "feed") });
+  publish(make_target(1, "a", "other"));
+  publish(make_target(3, "a"));
+  BOOST_TEST(tag_of(open(flow_of(3), 1)) == 3U);
+}
+
+// A copy that arrives after its flow is open would open it again at a target that has closed it meanwhile.
+BOOST_AUTO_TEST_CASE(a_late_copy_of_an_open_flow_is_dropped_when_its_target_gets_no_new_flows)
+{
+  publish(make_target(1, "a"));
+  publish(make_target(2, "a", "new"));
+  establish(flow_of(1));
+  publish_catalogue(2, { make_service(feed, "new") });
+  now += milliseconds(20);
+  BOOST_TEST((drop_reason_of(open(flow_of(1), 1)) == drop_reason::outdated_copy));
+  now += milliseconds(1500); // No copy is sent this late: the caller has opened a new flow from the same port.
+  BOOST_TEST(tag_of(open(flow_of(1), 1)) == 2U);
+}
+
 // Load pattern: a target stops answering. The copy after 200 ms is forwarded to another target, and so are the next
 // flows.
 BOOST_AUTO_TEST_CASE(a_copy_of_an_unanswered_open_goes_to_another_target)
