Bound the age of records over all sources together

Cause: each source of records had a limit of its own. The reader was left at an age of 2.2 s, and the next source might take another 1.0 s. Relays, daemons whose first three sources all have old records, and the first watch of a new source had the same fault.

Ruled out: a slow or refused read of the store (4 ms), a paused third daemon, records that were received and not applied.

Change: records that are 2.2 s old are read from the store, whichever sources have not been asked; a call to another daemon ends in time for it, and the read ends after 0.4 s. Sources are left earlier, by rank, so that one silent reader costs its followers no call to the store. An outage is assumed only after a failed call of the daemon's own. The first watch of a new source does not wait, and a pause of the call budget shortens the next watch of the store. New metric overdue_record_reads_total.

test_source_outages follows the new conditions of choose(); its bounds are unchanged. With the first read of each daemon in an outage its bound on calls failed (119, then 107 of 100 allowed) until the probes after it were moved to the end of their round.

--- a/include/coltsfootlock/coordination/steering/record_follower.h
+++ b/include/coltsfootlock/coordination/steering/record_follower.h
@@ -23,15 +23,27 @@
   milliseconds peer_wait{ 600 };
   milliseconds peer_slack{ 400 };
 
-  /// Records of another daemon that are older than this are not used. At a daemon that reads the store itself the age
-  /// is at most `watch_wait`; a relay adds `peer_wait` and two round trips. The limit is below the shortest time in
-  /// which a change has to be in force (3 s), which leaves time to read the store instead.
-  milliseconds max_peer_record_age{ 2200 };
+  /// A follower leaves a source whose records are older than this. At a daemon that reads the store itself the age is
+  /// at most `watch_wait`; each daemon on the way adds a round trip.
+  milliseconds max_peer_record_age{ 1750 };
 
-  /// The same for the daemon that takes over from the reader: above the interval between the reader's confirmations,
-  /// and below `max_record_gap`.
+  /// The same for relays, so that their followers find renewed records, and for the daemon that takes over from the
+  /// reader: above the interval between the reader's confirmations.
+  milliseconds max_relay_record_age{ 1600 };
   milliseconds max_successor_record_age{ 1500 };
 
+  /// How much later than at these ages a source may report that its records are old. A source that has not answered by
+  /// then is silent. Longer than the interval at which a source looks at the ages (100 ms).
+  milliseconds age_report_time{ 150 };
+
+  /// Records that are older than this are read from the store, whichever sources have not been asked yet. With
+  /// `overdue_read_timeout` it bounds the age of the records over all sources together, below the shortest time in
+  /// which a change has to be in force (3 s).
+  milliseconds max_followed_record_age{ 2200 };
+
+  /// Timeout of that read. The store answers in some milliseconds; if it does not, other daemons are asked again.
+  milliseconds overdue_read_timeout{ 400 };
+
   /// Timeout for a page of a list.
   milliseconds list_timeout{ 1500 };
 
@@ -70,7 +82,8 @@
 /// changes in a row while many daemons watch.
 ///
 /// Load pattern: a reader falls silent, and another daemon takes over with old records that many others wait for. A
-/// watch of old records does not wait for the next change.
+/// watch of old records does not wait for the next change, nor does the first watch of another source, whose records
+/// may have been confirmed since.
 ///
 /// Load pattern: hundreds of daemons start together and list thousands of records, page by page, from a store whose
 /// calls are expensive. The first list of a process may consist of old pages, each of another age. The watch that
@@ -110,6 +123,9 @@
   /// The last call, to another daemon, had no usable response. The next call can follow at once.
   void on_peer_failure();
 
+  /// The next call goes to another source than the last one.
+  void on_source_changed() { source_changed_ = true; }
+
   /// When the records were last complete and current; empty until the first list is complete. The time that a response
   /// takes beyond the wait of its call does not count, since it was on its way.
   std::optional<instant> confirmed_at() const { return confirmed_at_; }
@@ -148,11 +164,13 @@
   bool missed_an_outage(const response_age& age, instant now) const;
   void consume_call_budget(instant now);
   void confirm(const response_age& age, instant now);
-  milliseconds watch_wait(bool patient, instant now) const;
+  milliseconds store_wait(instant now) const;
+  milliseconds peer_wait(bool patient, instant now) const;
 
   follower_settings settings_;
   std::minstd_rand random_;
   bool calling_ = false;
+  bool source_changed_ = false;
   record_sender sender_ = record_sender::store;
   bool listing_ = true;
   bool relists_from_store_ = false;
--- a/include/coltsfootlock/coordination/steering/source_choice.h
+++ b/include/coltsfootlock/coordination/steering/source_choice.h
@@ -36,6 +36,8 @@
 /// Read the platform's store.
 struct read_store
 {
+  bool overdue = false; ///< The records are old; other daemons are asked again if the store does not answer soon.
+
   auto operator<=>(const read_store&) const = default;
 };
 
@@ -43,6 +45,7 @@
 enum class age_tolerance : std::uint8_t
 {
   short_time, ///< For the daemon that takes over from the reader, before the records of the others are too old.
+  relay_time, ///< For a relay, before the records of its followers are too old.
   usual,
   unlimited ///< There is no better source.
 };
@@ -73,6 +76,8 @@
   bool callable = true;   ///< The store may be called now, after the delays for its failures and rate.
   bool has_list = true;   ///< A list has been received, perhaps of old pages.
   bool relisting = false; ///< The store responded that a new list is needed, which is to come from the store as well.
+  bool overdue = false;   ///< The records are older than another daemon's may be.
+  bool failed = false;    ///< A call failed a moment ago, so that old records are no reason to read the store again.
 
   auto operator<=>(const store_condition&) const = default;
 };
@@ -96,8 +101,12 @@
 /// Load pattern: a reader falls silent, or the store refuses it without an answer. The daemon of the next rank takes
 /// over early, so that the records of the others do not become so old that removed targets get a grace period.
 ///
+/// Load pattern: several daemons of a domain fall silent at the same time, one after the other in the order of rank. A
+/// daemon whose records are overdue reads the store, whether it has asked all of them or not.
+///
 /// Load pattern: the store is away for all. Records age everywhere at the same time, and no source is better than
-/// another. After `min_old_sources` sources in a row with old records, a daemon assumes such an outage: the members
+/// another. After `min_old_sources` sources in a row with old records and a call of its own to the store that failed, a
+/// daemon assumes such an outage: the members
 /// with the highest ranks go on reading the store, and the others stay with one of them. They still read the store in
 /// turn, `outage_probe_interval` apart, since they may all have been cut off or refused alone.
 class source_choice
@@ -188,8 +197,8 @@
   /// The member did not respond.
   void on_failure(const std::string& id, instant now);
 
-  /// The member's records are too old.
-  void on_old_records(const std::string& id, instant now);
+  /// The member's records are too old. `store_failed`: a call of this daemon to the store failed a moment ago.
+  void on_old_records(const std::string& id, bool store_failed, instant now);
 
   /// The records were confirmed by the store.
   void on_store_success(instant now);
@@ -233,6 +242,7 @@
   std::vector<const member_state*> by_rank(instant now) const;
   const member_state* relay(const member_state& reader, instant now) const;
   bool is_successor(instant now) const;
+  bool is_relay(instant now) const;
   record_source choose_during_outage(const store_condition& store, instant now);
   duration probe_delay(double share, instant now) const;
   void end_outage(const std::string& source, instant now);
--- a/include/coltsfootlock/coordination/steering/steering_decision.h
+++ b/include/coltsfootlock/coordination/steering/steering_decision.h
@@ -36,8 +36,8 @@
   stale_records,    ///< The service is unknown, but the records are too old to reset the flow for that reason.
   unknown_target,   ///< No target has the token of the packet.
   ambiguous_target, ///< Several targets have the token of the packet.
-  late_open, ///< A first packet that was queued while the process was paused; its copies may have opened the flow
-             ///< elsewhere.
+  late_open,    ///< A first packet that was queued while the process was paused; its copies may have opened the flow
+                ///< elsewhere.
   outdated_copy ///< A copy of a first packet whose flow is open at a target that gets no new flows of the service.
 };
 
--- a/libraries/coordination/steering/record_follower.cpp
+++ b/libraries/coordination/steering/record_follower.cpp
@@ -44,7 +44,11 @@
   if (!from_peer) {
     consume_call_budget(now);
   }
-  const milliseconds wait = listing_ ? milliseconds(0) : watch_wait(patient, now);
+  milliseconds wait{ 0 };
+  if (!listing_) {
+    wait = from_peer ? peer_wait(patient, now) : store_wait(now);
+  }
+  source_changed_ = false;
   latest_sending_ = now + wait;
   if (listing_) {
     if (list_after_.empty()) {
@@ -56,14 +60,23 @@
   return planned_call{ watch_call{ revision_, wait }, wait + slack };
 }
 
+/// A pause of the call budget before the watch counts as part of its wait, so that the records of a daemon that reads
+/// the store are confirmed every `watch_wait`.
 milliseconds
-record_follower::watch_wait(bool patient, instant now) const
+record_follower::store_wait(instant now) const
 {
-  const bool old = !confirmed_at_ || now - *confirmed_at_ > settings_.max_record_gap;
-  if (old && !patient) {
+  if (!confirmed_at_) {
     return milliseconds(0);
   }
-  return sender_ != record_sender::store ? settings_.peer_wait : settings_.watch_wait;
+  const auto age = std::chrono::ceil<milliseconds>(now - *confirmed_at_);
+  return std::clamp(settings_.watch_wait - age, milliseconds(0), settings_.watch_wait);
+}
+
+milliseconds
+record_follower::peer_wait(bool patient, instant now) const
+{
+  const bool old = !confirmed_at_ || now - *confirmed_at_ > settings_.max_peer_record_age;
+  return !patient && (old || source_changed_) ? milliseconds(0) : settings_.peer_wait;
 }
 
 record_follower::progress
--- a/libraries/coordination/steering/source_choice.cpp
+++ b/libraries/coordination/steering/source_choice.cpp
@@ -179,6 +179,9 @@
   if (in_outage()) {
     return choose_during_outage(store, now);
   }
+  if ((store.overdue || old_sources_ >= min_old_sources) && !store.failed && store.callable) {
+    return read_store{ true };
+  }
   if (now < recovery_source_until_ && !store.failing) {
     const auto source = members_.find(recovery_source_);
     if (recovery_source_.empty()) {
@@ -195,7 +198,10 @@
   if (!wanted) {
     return read_store{};
   }
-  return follow_member{ std::move(*wanted), is_successor(now) ? age_tolerance::short_time : age_tolerance::usual };
+  const auto tolerance = is_successor(now) ? age_tolerance::short_time
+                         : is_relay(now)   ? age_tolerance::relay_time
+                                           : age_tolerance::usual;
+  return follow_member{ std::move(*wanted), tolerance };
 }
 
 /// True if only one available member of the domain has a higher rank than this daemon.
@@ -210,6 +216,17 @@
   return higher == 1;
 }
 
+/// True if other daemons of a large domain follow this one, or would while the reader is away.
+bool
+source_choice::is_relay(instant now) const
+{
+  const auto higher = std::count_if(members_.begin(), members_.end(), [this, now](const auto& item) {
+    const member_state& state = item.second;
+    return state.member.domain == domain_ && state.rank > self_rank_ && now - state.last_seen <= member_lifetime;
+  });
+  return domain_is_large(now) && static_cast<std::size_t>(higher) < relay_count(daemons_in_domain(now));
+}
+
 record_source
 source_choice::choose_during_outage(const store_condition& store, instant now)
 {
@@ -286,7 +303,7 @@
 }
 
 void
-source_choice::on_old_records(const std::string& id, instant now)
+source_choice::on_old_records(const std::string& id, bool store_failed, instant now)
 {
   if (in_outage()) {
     asks_best_ = !asks_best_;
@@ -297,12 +314,13 @@
     return;
   }
   on_failure(id, now);
-  if (++old_sources_ < min_old_sources) {
+  if (++old_sources_ < min_old_sources || !store_failed) {
     return;
   }
   asks_best_ = true;
   constexpr double hash_range = 18446744073709551616.0; // 2^64
-  next_probe_ = now + probe_delay(static_cast<double>(self_rank_.hash) / hash_range, now);
+  // All daemons have just called the store, so that the next calls are spread over the end of the round.
+  next_probe_ = now + probe_delay((2 + static_cast<double>(self_rank_.hash) / hash_range) / 3, now);
 }
 
 void
--- a/libraries/coordination/steering/tests/test_record_follower.cpp
+++ b/libraries/coordination/steering/tests/test_record_follower.cpp
@@ -242,6 +242,29 @@
   BOOST_TEST((std::get<watch_call>(patient->call) == watch_call{ 50, settings.peer_wait }));
 }
 
+// Load pattern: a reader falls silent, and its followers move to a daemon that has confirmed its records before they
+// ask it. A response without changes would come after the wait.
+BOOST_AUTO_TEST_CASE(the_first_watch_of_another_source_does_not_wait)
+{
+  list(50);
+  now += milliseconds(500);
+  follower.on_source_changed();
+  const auto first = follower.next_call(record_sender::own_domain, false, now);
+  BOOST_TEST((std::get<watch_call>(first->call) == watch_call{ 50, milliseconds(0) }));
+  follower.on_response(record_events{ {}, 50, {} }, now);
+  const auto second = follower.next_call(record_sender::own_domain, false, now);
+  BOOST_TEST((std::get<watch_call>(second->call) == watch_call{ 50, settings.peer_wait }));
+}
+
+// Load pattern: many changes in a row use up the call budget. The pause before the next watch must not add to the age
+// of the records that the followers see.
+BOOST_AUTO_TEST_CASE(a_pause_before_a_watch_of_the_store_shortens_its_wait)
+{
+  list(50);
+  now += milliseconds(400);
+  BOOST_TEST((std::get<watch_call>(call()) == watch_call{ 50, settings.watch_wait - milliseconds(400) }));
+}
+
 // Load pattern: the store refuses a reader, and its followers move to another daemon of the domain, which was served
 // all the time. The targets of the domain could reach the store as well, so their removed records mean what they say.
 BOOST_AUTO_TEST_CASE(a_gap_that_another_daemon_of_the_domain_did_not_have_is_no_outage)
--- a/libraries/coordination/steering/tests/test_source_outages.cpp
+++ b/libraries/coordination/steering/tests/test_source_outages.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr int domain_size = 58;
+constexpr milliseconds store_retry(3000); ///< For how long a failed call of the store is a recent one.
 
 fleet_member
 member(int number, const std::string& domain = "a")
@@ -30,6 +31,7 @@
   instant idle_at;
   instant store_callable_at;
   milliseconds store_delay{ 0 };
+  instant store_failed_until;
   int store_calls = 0;
 };
 
@@ -85,6 +87,7 @@
       return;
     }
     daemon.store_callable_at = now + daemon.store_delay;
+    daemon.store_failed_until = now + store_retry;
     daemon.store_delay = std::clamp(2 * daemon.store_delay, settings.initial_retry_delay, settings.max_retry_delay);
   }
 
@@ -94,7 +97,7 @@
     const instant confirmed = find(source.member.id).confirmed;
     daemon.confirmed = std::max(daemon.confirmed, confirmed);
     if (now - confirmed > settings.max_peer_record_age) {
-      daemon.sources->on_old_records(source.member.id, now);
+      daemon.sources->on_old_records(source.member.id, now < daemon.store_failed_until, now);
     } else {
       daemon.sources->on_success(source.member.id, now);
     }
@@ -110,8 +113,12 @@
         if (now < daemon.idle_at) {
           continue;
         }
-        const record_source source =
-          daemon.sources->choose({ daemon.store_delay > milliseconds(0), now >= daemon.store_callable_at }, now);
+        store_condition store;
+        store.failing = daemon.store_delay > milliseconds(0);
+        store.failed = now < daemon.store_failed_until;
+        store.callable = now >= daemon.store_callable_at;
+        store.overdue = now - daemon.confirmed >= settings.max_followed_record_age;
+        const record_source source = daemon.sources->choose(store, now);
         if (const auto* followed = std::get_if<follow_member>(&source)) {
           call_member(daemon, *followed);
         } else {
--- a/programs/coltsfootlockd/carried/carried_metrics.cpp
+++ b/programs/coltsfootlockd/carried/carried_metrics.cpp
@@ -61,6 +61,9 @@
   metrics.begin_counter("record_failures_total", "Calls for records without a usable answer, by source.");
   metrics.add(static_cast<double>(counters.store_failures), { { "source", "store" } });
   metrics.add(static_cast<double>(counters.peer_failures), { { "source", "daemon" } });
+  metrics.counter("overdue_record_reads_total",
+                  "Calls to the store because the records were too old to ask another daemon first.",
+                  static_cast<double>(counters.overdue_reads));
   metrics.counter("record_changes_total", "Changes of records.", static_cast<double>(counters.changes));
   const auto confirmed = records.confirmed_at();
   metrics.gauge("records_age_seconds",
--- a/programs/coltsfootlockd/carried/record_path.cpp
+++ b/programs/coltsfootlockd/carried/record_path.cpp
@@ -2,6 +2,7 @@
 
 #include "carried/peer_pages.h"
 
+#include "coltsfootlock/coordination/steering/source_patience.h"
 #include "coltsfootlock/coordination/steering/watch_response.h"
 #include "coltsfootlock/protocol/relay_codec.h"
 #include "coltsfootlock/transport/log.h"
@@ -113,6 +114,20 @@
   return exchange().busy() && !sources_.in_outage() && now - source_since_ < max_renewal_time;
 }
 
+store_condition
+record_path::condition_of_store(instant now) const
+{
+  const auto confirmed = follower_.confirmed_at();
+  store_condition result;
+  result.failed = now < store_retry_at_;
+  result.failing = result.failed && follower_.failures() >= failures_before_fallback;
+  result.callable = now >= follower_.next_wakeup();
+  result.has_list = follower_.revision() > 0;
+  result.relisting = follower_.relists_from_store();
+  result.overdue = confirmed && now - *confirmed >= settings_.max_followed_record_age;
+  return result;
+}
+
 /// False if no call is to be made yet.
 bool
 record_path::choose_source(instant now)
@@ -122,14 +137,13 @@
   if (follower_.listing_in_progress() && !sources_.domain_is_large(now)) {
     return true;
   }
-  const store_condition store{ follower_.failures() >= failures_before_fallback &&
-                                 now<store_retry_at_, now >= follower_.next_wakeup(), follower_.revision()> 0,
-                               follower_.relists_from_store() };
-  const record_source source = sources_.choose(store, now);
+  const record_source source = sources_.choose(condition_of_store(now), now);
   if (const auto* awaited = std::get_if<await_members>(&source)) {
     members_awaited_until_ = awaited->until;
     return false;
   }
+  const auto* read = std::get_if<read_store>(&source);
+  reads_overdue_ = read != nullptr && read->overdue;
   const auto* followed = std::get_if<follow_member>(&source);
   tolerance_ = followed != nullptr ? followed->tolerance : age_tolerance::usual;
   std::optional<fleet_member> wanted = followed != nullptr ? std::optional(followed->member) : std::nullopt;
@@ -137,6 +151,7 @@
     return true;
   }
   source_since_ = now;
+  follower_.on_source_changed();
   received_observation_ = 0;
   write_log(log_level::info,
             "records",
@@ -158,21 +173,6 @@
   return peer_->domain == domain_ ? record_sender::own_domain : record_sender::other_domain;
 }
 
-/// The age of its records at which the daemon that is followed is to respond at once.
-milliseconds
-record_path::max_accepted_age() const
-{
-  switch (tolerance_) {
-    case age_tolerance::short_time:
-      return settings_.max_successor_record_age;
-    case age_tolerance::usual:
-      return settings_.max_peer_record_age;
-    case age_tolerance::unlimited:
-      break;
-  }
-  return std::chrono::hours(24);
-}
-
 void
 record_path::start_call(instant now)
 {
@@ -188,9 +188,18 @@
   call_deadline_ = now + planned->timeout;
   if (peer_) {
     ++counters_.peer_calls;
-    exchange().get(peer_pages::request_target(call_, { received_observation_, max_accepted_age() }), call_deadline_);
+    call_deadline_ =
+      std::min(call_deadline_,
+               latest_peer_response(settings_, tolerance_, follower_.confirmed_at(), now < store_retry_at_, now));
+    exchange().get(
+      peer_pages::request_target(call_, { received_observation_, max_accepted_age(settings_, tolerance_) }),
+      call_deadline_);
     return;
   }
+  if (reads_overdue_) {
+    ++counters_.overdue_reads;
+    call_deadline_ = std::min(call_deadline_, now + settings_.overdue_read_timeout);
+  }
   ++(std::holds_alternative<list_call>(call_) ? counters_.store_lists : counters_.store_watches);
   exchange().get(platform::request_target(call_), call_deadline_);
 }
@@ -221,7 +230,7 @@
   write_log(log_level::warning,
             "records",
             "left source=" + peer_->id + " reason=\"records are " + std::to_string(records_age.count()) + " ms old\"");
-  sources_.on_old_records(peer_->id, now);
+  sources_.on_old_records(peer_->id, now < store_retry_at_, now);
   if (sources_.in_outage()) {
     write_log(log_level::warning, "records", "all sources have old records, assumes an outage of the store");
   }
@@ -287,7 +296,7 @@
     return;
   }
   const milliseconds limit =
-    tolerance_ == age_tolerance::unlimited ? settings_.max_peer_record_age : max_accepted_age();
+    tolerance_ == age_tolerance::unlimited ? settings_.max_peer_record_age : max_accepted_age(settings_, tolerance_);
   if (records_age && records_age->records > limit) {
     on_old_records(records_age->records, now);
   } else {
--- a/programs/coltsfootlockd/carried/record_path.h
+++ b/programs/coltsfootlockd/carried/record_path.h
@@ -22,6 +22,7 @@
   std::uint64_t store_lists = 0;
   std::uint64_t store_watches = 0;
   std::uint64_t store_failures = 0;
+  std::uint64_t overdue_reads = 0; ///< Calls to the store since the records became too old to follow another daemon.
   std::uint64_t peer_calls = 0;
   std::uint64_t peer_failures = 0;
   std::uint64_t changes = 0;
@@ -89,9 +90,9 @@
 
   http_exchange& exchange() { return peer_ ? peer_exchange_ : store_exchange_; }
   const http_exchange& exchange() const { return peer_ ? peer_exchange_ : store_exchange_; }
+  store_condition condition_of_store(instant now) const;
   bool choose_source(instant now);
   record_sender receiver() const;
-  milliseconds max_accepted_age() const;
   void start_call(instant now);
   record_response read_response(const http_answer& response) const;
   void on_response(record_response response, instant now);
@@ -106,6 +107,7 @@
   http_exchange peer_exchange_;
   std::optional<fleet_member> peer_; ///< The daemon that the last call went to; empty for the store.
   age_tolerance tolerance_ = age_tolerance::usual;
+  bool reads_overdue_ = false;                   ///< The store is read because the records are overdue.
   instant source_since_;                         ///< Start of the first call to the current source.
   std::optional<instant> members_awaited_until_; ///< No call is made before, unless members are found.
   record_follower follower_;
