Open flows only with confirmed records after a start

Callers could see: a target, service or domain that was withdrawn seconds before a daemon starts gets new flows from it for up to 0.4 s.

Cause: the first list may consist of old pages of the store, and the watch that brings it up to date waits for members, while flows were opened as soon as the list was there.

Change: first packets wait in the socket until a watch has confirmed the list. If packets wait, the watch waits for members for 30 ms, else for 400 ms as before, so that a start without callers costs no call. /ready answers 200 from then on.

Ruled out: a watch without any wait for members.

Tests: three in steering; the first one fails without the change.

--- a/include/coltsfootlock/coordination/steering/source_choice.h
+++ b/include/coltsfootlock/coordination/steering/source_choice.h
@@ -77,6 +77,7 @@
   bool has_list = true;   ///< A list has been received, perhaps of old pages.
   bool relisting = false; ///< The store responded that a new list is needed, which is to come from the store as well.
   bool overdue = false;   ///< The records are older than another daemon's may be.
+  bool urgent = false;    ///< Callers wait for the first records that are confirmed.
   bool failed = false;    ///< A call failed a moment ago, so that old records are no reason to read the store again.
 
   auto operator<=>(const store_condition&) const = default;
@@ -96,7 +97,8 @@
 ///
 /// Load pattern: all daemons start at once, or many join, while callers wait. Each begins with the old pages of the
 /// store, which are cheap, and asks a seed for members meanwhile. The watch that follows waits for members, and goes to
-/// the store only from the daemon with the highest rank of those that are known, or if no seed answers.
+/// the store only from the daemon with the highest rank of those that are known, or if no seed answers. It waits
+/// only briefly if callers do: flows are opened only once the watch has confirmed the list.
 ///
 /// Load pattern: a reader falls silent, or the store refuses it without an answer. The daemon of the next rank takes
 /// over early, so that the records of the others do not become so old that removed targets get a grace period.
@@ -151,6 +153,9 @@
   /// The first watch waits this long for a seed's response.
   static constexpr milliseconds max_member_wait{ 400 };
 
+  /// The same if callers wait: several times a seed's usual delay.
+  static constexpr milliseconds max_urgent_member_wait{ 30 };
+
   /// A seed that has not answered a daemon's first request by then may still be starting; the next one is asked.
   static constexpr milliseconds first_seed_timeout{ 200 };
 
@@ -209,7 +214,7 @@
   /// True soon after the start, until the first member list has been received.
   bool awaits_first_list(instant now) const
   {
-    return members_awaited_until_ && now < *members_awaited_until_ + initial_discovery_interval;
+    return members_awaited_since_ && now < *members_awaited_since_ + max_member_wait + initial_discovery_interval;
   }
 
   /// True if the next registration with a seed is due.
@@ -253,7 +258,7 @@
   std::map<std::string, member_state> members_;
   std::size_t reported_daemons_ = 1;
   instant next_discovery_;
-  std::optional<instant> members_awaited_until_; ///< Until then, or the first member list, no call is made.
+  std::optional<instant> members_awaited_since_; ///< Empty once the first member list has been received.
   unsigned old_sources_ = 0;                     ///< Sources in a row with old records.
   std::optional<instant> next_probe_;            ///< Of the store, during an outage.
   bool asks_best_ = true;         ///< During an outage, the best member and the others are asked in turn.
--- a/include/coltsfootlock/coordination/steering/steering_engine.h
+++ b/include/coltsfootlock/coordination/steering/steering_engine.h
@@ -56,6 +56,9 @@
   /// Sets the time at which the records were last known to be complete. `outage_grace_end`: as in `on_record`.
   void on_confirmed(instant at, instant outage_grace_end = {});
 
+  /// The records cannot be confirmed for now, since the store does not answer. New flows are opened with what is known.
+  void on_confirmation_unavailable() { opens_unconfirmed_ = true; }
+
   /// The process was paused until now. Packets up to `on_backlog_end` were queued during the pause.
   void on_pause(instant now);
   void on_backlog_end() { backlog_ = false; }
@@ -87,6 +90,10 @@
   /// True once the catalogue and the targets have been received.
   bool has_records() const { return complete_ && services_.current() != nullptr; }
 
+  /// True once new flows are opened. The first list may consist of old pages, with targets and services that have been
+  /// removed since, so that it has to be confirmed first. Packets of open flows do not depend on it.
+  bool accepts_flows() const { return has_records() && (confirmed_at_ || opens_unconfirmed_); }
+
   /// True while no target answers, so that other daemons should serve the callers.
   bool isolated() const { return isolation_.isolated(); }
 
@@ -156,6 +163,7 @@
   carried_flow_table flows_;
   isolation_detector isolation_;
   bool complete_ = false;
+  bool opens_unconfirmed_ = false;
   bool backlog_ = false; ///< Packets that were queued during a pause are being handled.
   std::optional<instant> confirmed_at_;
   instant outage_grace_end_;
--- a/libraries/coordination/steering/source_choice.cpp
+++ b/libraries/coordination/steering/source_choice.cpp
@@ -74,7 +74,7 @@
 source_choice::on_member_list(const member_list& response, instant now)
 {
   reported_daemons_ = response.daemons_in_domain;
-  members_awaited_until_.reset();
+  members_awaited_since_.reset();
   for (const fleet_member& member : response.members) {
     on_member(member, now);
   }
@@ -164,14 +164,17 @@
 void
 source_choice::expect_members(instant now)
 {
-  members_awaited_until_ = now + max_member_wait;
+  members_awaited_since_ = now;
 }
 
 record_source
 source_choice::choose(const store_condition& store, instant now)
 {
-  if (store.has_list && members_awaited_until_ && now < *members_awaited_until_) {
-    return await_members{ *members_awaited_until_ };
+  if (store.has_list && members_awaited_since_) {
+    const instant until = *members_awaited_since_ + (store.urgent ? max_urgent_member_wait : max_member_wait);
+    if (now < until) {
+      return await_members{ until };
+    }
   }
   if (store.relisting) {
     return read_store{};
--- a/libraries/coordination/steering/steering_engine.cpp
+++ b/libraries/coordination/steering/steering_engine.cpp
@@ -192,7 +192,7 @@
 steering_decision
 steering_engine::on_packet(const carried_packet& packet, instant now)
 {
-  if (!has_records()) {
+  if (!has_records() || (packet.opens && !accepts_flows())) {
     return drop(drop_reason::not_ready);
   }
   return packet.opens ? on_opening(packet, now) : on_established(packet, now);
--- a/libraries/coordination/steering/tests/test_source_outages.cpp
+++ b/libraries/coordination/steering/tests/test_source_outages.cpp
@@ -253,6 +253,21 @@
   BOOST_TEST((daemon.choose(listed, now) == record_source(follow_member{ fast, age_tolerance::short_time })));
 }
 
+// Load pattern: a daemon starts while callers send it first packets, which wait for records that are confirmed.
+BOOST_AUTO_TEST_CASE(a_daemon_that_starts_before_waiting_callers_waits_briefly_for_members)
+{
+  const instant now(seconds(10));
+  source_choice daemon("entry-1", "a");
+  daemon.expect_members(now);
+  store_condition store;
+  store.urgent = true;
+  BOOST_TEST(
+    (daemon.choose(store, now) == record_source(await_members{ now + source_choice::max_urgent_member_wait })));
+  BOOST_TEST(std::holds_alternative<read_store>(daemon.choose(store, now + source_choice::max_urgent_member_wait)));
+  store.urgent = false;
+  BOOST_TEST(std::holds_alternative<await_members>(daemon.choose(store, now + source_choice::max_urgent_member_wait)));
+}
+
 BOOST_AUTO_TEST_CASE(a_daemon_reads_the_store_if_no_seed_answers)
 {
   const instant now(seconds(10));
--- a/libraries/coordination/steering/tests/test_steering_engine.cpp
+++ b/libraries/coordination/steering/tests/test_steering_engine.cpp
@@ -91,6 +91,50 @@
   BOOST_TEST((drop_reason_of(started.on_packet(packet, now)) == drop_reason::not_ready));
 }
 
+// A daemon that starts lists old pages of the store. A target that was withdrawn seconds before would get flows again.
+BOOST_AUTO_TEST_CASE(no_flow_is_opened_with_records_that_are_not_confirmed)
+{
+  steering_engine started(make_settings());
+  auto services = std::make_shared<catalogue>();
+  services->version = 1;
+  services->services = { make_service(feed, "feed") };
+  started.on_snapshot_begin();
+  started.on_record({ 1, catalogue_published{ services } }, {}, now);
+  started.on_record({ 2, target_published{ make_target(1, "a") } }, {}, now);
+  started.on_snapshot_complete(2, {}, now);
+  carried_packet first;
+  first.flow = flow_of(1);
+  first.opens = true;
+  carried_packet later;
+  later.flow = flow_of(2);
+  later.token = token_of_tag(1);
+  BOOST_TEST((drop_reason_of(started.on_packet(first, now)) == drop_reason::not_ready));
+  BOOST_TEST(tag_of(started.on_packet(later, now)) == 1U); // Its flow is open.
+  started.on_record({ 3, target_removed{ "t-1" } }, {}, now);
+  started.on_record({ 4, target_published{ make_target(2, "a") } }, {}, now);
+  started.on_confirmed(now);
+  BOOST_TEST(tag_of(started.on_packet(first, now)) == 2U);
+}
+
+// Load pattern: the store fails while a daemon starts. What is known serves callers better than nothing.
+BOOST_AUTO_TEST_CASE(flows_are_opened_with_unconfirmed_records_if_the_store_does_not_answer)
+{
+  steering_engine started(make_settings());
+  auto services = std::make_shared<catalogue>();
+  services->version = 1;
+  services->services = { make_service(feed, "feed") };
+  started.on_snapshot_begin();
+  started.on_record({ 1, catalogue_published{ services } }, {}, now);
+  started.on_record({ 2, target_published{ make_target(1, "a") } }, {}, now);
+  started.on_snapshot_complete(2, {}, now);
+  BOOST_TEST(!started.accepts_flows());
+  started.on_confirmation_unavailable();
+  carried_packet first;
+  first.flow = flow_of(1);
+  first.opens = true;
+  BOOST_TEST(tag_of(started.on_packet(first, now)) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_service_without_targets_rejects_at_once)
 {
   BOOST_TEST((reset_reason_of(open(flow_of(1))) == flow_end_reason::no_target));
--- a/programs/coltsfootlockd/carried/carried_daemon.cpp
+++ b/programs/coltsfootlockd/carried/carried_daemon.cpp
@@ -32,7 +32,7 @@
 /// Interval for checking the settings file for changes without a signal.
 constexpr milliseconds settings_interval{ 2000 };
 
-/// Maximum time after the start for which packets stay queued until the records are received: the retransmission
+/// Maximum time after the start for which packets stay queued until the records are confirmed: the retransmission
 /// timeout of a caller (200 ms) plus the usual maximum time until the store's first response.
 constexpr milliseconds max_packet_wait{ 500 };
 
@@ -146,8 +146,9 @@
 {
   poll_groups groups;
   descriptors_.clear();
-  // Packets stay queued in the socket until the records are received, usually a few round trips after the start.
-  if (engine_.has_records() || now_ - started_ > max_packet_wait) {
+  // Packets stay queued in the socket until the records are confirmed, usually a few round trips after the start.
+  groups.takes_packets = engine_.accepts_flows() || now_ - started_ > max_packet_wait;
+  if (groups.takes_packets || !records_.callers_wait()) {
     descriptors_.push_back({ packets_.descriptor(), POLLIN, 0 });
   }
   groups.records = descriptors_.size();
@@ -198,9 +199,11 @@
   const std::span<const pollfd> polled = descriptors_;
   const auto group = [&polled](std::size_t begin, std::size_t end) { return polled.subspan(begin, end - begin); };
   // After a pause, the results of poll() may be out of date, so the socket is read in any case.
-  const bool takes_packets = groups.records > 0;
-  if (takes_packets && (engine_.has_backlog() || any_ready(group(0, groups.records)))) {
+  const bool packets_ready = any_ready(group(0, groups.records));
+  if (groups.takes_packets && (engine_.has_backlog() || packets_ready)) {
     guard_.run("flow", [this] { packets_.advance(records_.confirmed_at(), now_); });
+  } else if (packets_ready) {
+    records_.on_callers_waiting();
   }
   const std::uint64_t revision = records_.cache().revision();
   const instant renewed_at = records_.renewed_at();
--- a/programs/coltsfootlockd/carried/carried_daemon.h
+++ b/programs/coltsfootlockd/carried/carried_daemon.h
@@ -37,12 +37,13 @@
 
 private:
   page ready_page();
-  bool is_ready() const { return engine_.has_records() && !engine_.isolated() && !leaving_since_; }
+  bool is_ready() const { return engine_.accepts_flows() && !engine_.isolated() && !leaving_since_; }
   const char* unready_reason() const;
   bool may_leave(instant now) const;
   /// Index of the first polled descriptor of each part; the packet socket comes first.
   struct poll_groups
   {
+    bool takes_packets = false;
     std::size_t records = 0;
     std::size_t member_discovery = 0;
     std::size_t observations = 0;
--- a/programs/coltsfootlockd/carried/record_path.cpp
+++ b/programs/coltsfootlockd/carried/record_path.cpp
@@ -124,6 +124,7 @@
   result.callable = now >= follower_.next_wakeup();
   result.has_list = follower_.revision() > 0;
   result.relisting = follower_.relists_from_store();
+  result.urgent = !confirmed && callers_wait_;
   result.overdue = confirmed && now - *confirmed >= settings_.max_followed_record_age;
   return result;
 }
@@ -273,6 +274,9 @@
   }
   const auto confirmed = follower_.confirmed_at();
   const auto progress = follower_.on_response(std::move(response), now);
+  if (follower_.failures() >= failures_before_fallback) {
+    engine_.on_confirmation_unavailable();
+  }
   if (follower_.confirmed_at() && (!confirmed || *follower_.confirmed_at() - *confirmed >= min_renewal_interval)) {
     renewed_at_ = now;
   }
--- a/programs/coltsfootlockd/carried/record_path.h
+++ b/programs/coltsfootlockd/carried/record_path.h
@@ -67,6 +67,10 @@
   /// True if the last call went to another source a moment ago and may renew old records.
   bool is_renewing(instant now) const;
 
+  /// Callers wait for the first confirmed records.
+  void on_callers_waiting() { callers_wait_ = true; }
+  bool callers_wait() const { return callers_wait_; }
+
   /// True if the first list is expected: the store or another daemon has not failed to provide it.
   bool expects_list() const { return !follower_.confirmed_at() && follower_.failures() == 0; }
 
@@ -107,6 +111,7 @@
   http_exchange peer_exchange_;
   std::optional<fleet_member> peer_; ///< The daemon that the last call went to; empty for the store.
   age_tolerance tolerance_ = age_tolerance::usual;
+  bool callers_wait_ = false;
   bool reads_overdue_ = false;                   ///< The store is read because the records are overdue.
   instant source_since_;                         ///< Start of the first call to the current source.
   std::optional<instant> members_awaited_until_; ///< No call is made before, unless members are found.
