Refuse deeply nested records, and keep short reasons of unreadable ones

Callers could see: nothing at first; a domain's daemons refuse all responses of one another that contain one odd entry, and each reads the store itself.

Cause: the reason of an unreadable entry was the parser's message, which quotes the input, while a follower takes 1,024 bytes. Deep nesting was refused in MessagePack only; 1 MB of nested JSON takes 83 MB.

Change: parser messages are cut after 240 bytes, and JSON of more than 32 levels is refused while it is read.

--- a/libraries/protocol/json_fields.cpp
+++ b/libraries/protocol/json_fields.cpp
@@ -1,5 +1,7 @@
 #include "coltsfootlock/protocol/json_fields.h"
 
+#include "bounded_json.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -9,6 +11,21 @@
 
 constexpr std::size_t max_name_length = 48;
 
+/// Levels of arrays and objects in a record; several times what the largest one has.
+constexpr std::size_t max_levels = 32;
+
+/// Bytes of the parser's message that are kept. It quotes the input, which may be a text of a megabyte.
+constexpr std::size_t max_problem_bytes = 240;
+
+std::string
+shorten(const std::string& problem)
+{
+  if (problem.size() <= max_problem_bytes) {
+    return problem;
+  }
+  return problem.substr(0, max_problem_bytes) + " ...";
+}
+
 bool
 is_name_character(char character)
 {
@@ -208,16 +225,16 @@
               " are accepted" };
     return {};
   }
-  try {
-    nlohmann::json value = nlohmann::json::parse(text);
-    if (!value.is_object()) {
-      why = { error_kind::wrong_type, "the record must be a JSON object" };
-    }
-    return value;
-  } catch (const nlohmann::json::exception& failure) {
-    why = { error_kind::syntax, std::string("the record is not valid JSON: ") + failure.what() };
+  nlohmann::json value;
+  bounded_json_builder builder(value, max_levels);
+  if (!nlohmann::json::sax_parse(text.begin(), text.end(), &builder)) {
+    why = { error_kind::syntax, "the record is not valid JSON: " + shorten(builder.problem()) };
     return {};
   }
+  if (!value.is_object()) {
+    why = { error_kind::wrong_type, "the record must be a JSON object" };
+  }
+  return value;
 }
 
 }
--- a/libraries/protocol/relay_codec.cpp
+++ b/libraries/protocol/relay_codec.cpp
@@ -1,5 +1,6 @@
 #include "coltsfootlock/protocol/relay_codec.h"
 
+#include "bounded_json.h"
 #include "coltsfootlock/protocol/json_fields.h"
 #include "json_row.h"
 
@@ -31,40 +32,13 @@
 /// Levels of arrays and maps in a message of another daemon; twice what the largest one has.
 constexpr std::size_t max_nesting = 16;
 
-/// Builds a value, and refuses one with too many levels before the parser, which calls itself for each of them,
-/// exhausts the stack.
-class bounded_builder : public nlohmann::detail::json_sax_dom_parser<json>
-{
-public:
-  explicit bounded_builder(json& result)
-    : json_sax_dom_parser(result, false)
-  {
-  }
-
-  bool start_object(std::size_t size) { return ++levels_ <= max_nesting && json_sax_dom_parser::start_object(size); }
-  bool start_array(std::size_t size) { return ++levels_ <= max_nesting && json_sax_dom_parser::start_array(size); }
-  bool end_object()
-  {
-    --levels_;
-    return json_sax_dom_parser::end_object();
-  }
-  bool end_array()
-  {
-    --levels_;
-    return json_sax_dom_parser::end_array();
-  }
-
-private:
-  std::size_t levels_ = 0;
-};
-
 /// The value of MessagePack bytes; null if they are malformed.
 template<typename Bytes>
 json
 parse_messagepack(const Bytes& bytes)
 {
   json value;
-  bounded_builder builder(value);
+  bounded_json_builder builder(value, max_nesting);
   if (!json::sax_parse(bytes.begin(), bytes.end(), &builder, json::input_format_t::msgpack, true)) {
     return nullptr;
   }
