--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -13,6 +13,9 @@
 
 constexpr int wrong_usage = 2;
 
+/// Each daemon has an address of its own in a group of 255.
+constexpr std::uint64_t max_daemons_per_domain = 60;
+
 /// The number given for a flag; `otherwise` without one, and empty with a message if it is none.
 std::optional<std::uint64_t>
 number_of(const parsed_flags& flags, const std::string& flag, std::uint64_t otherwise)
@@ -59,8 +62,13 @@
 main(int argc, char** argv)
 {
   error why;
-  const std::vector<flag_definition> known = { { "daemon", "path" }, { "keep", "path" }, { "first-seed", "seed" },
-                                               { "seeds", "count" }, { "seconds", "s" }, { "network", "1 to 250" } };
+  const std::vector<flag_definition> known = { { "daemon", "path" },
+                                               { "keep", "path" },
+                                               { "first-seed", "seed" },
+                                               { "seeds", "count" },
+                                               { "seconds", "s" },
+                                               { "network", "1 to 250" },
+                                               { "daemons", "of each domain, 1 to 60" } };
   const auto flags = parsed_flags::parse(std::vector<std::string>(argv, argv + argc), known, false, why);
   if (!flags || flags->values.count("daemon") == 0 || flags->values.count("keep") == 0) {
     std::cerr << "soak: " << (flags ? "--daemon and --keep are required" : why.message) << '\n';
@@ -70,7 +78,12 @@
   const auto seeds = number_of(*flags, "seeds", 1);
   const auto time = number_of(*flags, "seconds", 12);
   const auto network = number_of(*flags, "network", 40);
-  if (!seed || !seeds || !time || !network) {
+  const auto daemons = number_of(*flags, "daemons", 2);
+  if (!seed || !seeds || !time || !network || !daemons) {
+    return wrong_usage;
+  }
+  if (*daemons < 1 || *daemons > max_daemons_per_domain) {
+    std::cerr << "soak: --daemons must be a number from 1 to " << max_daemons_per_domain << "\n";
     return wrong_usage;
   }
   soak_options options;
@@ -79,6 +92,7 @@
   options.seed = *seed;
   options.time = seconds(static_cast<seconds::rep>(*time));
   options.network = static_cast<std::uint8_t>(*network);
+  options.daemons_per_domain = static_cast<int>(*daemons);
   try {
     return run_all(options, *seeds);
   } catch (const std::exception& problem) {
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -17,7 +17,6 @@
 
 namespace {
 
-constexpr int daemons_per_domain = 2;
 constexpr int targets_per_domain = 3;
 constexpr int callers_per_domain = 2;
 
@@ -104,7 +103,7 @@
     seeds += (seeds.empty() ? "" : ",") + to_string(address(1, number, call_port));
   }
   number = 1;
-  for (int count = 0; count < daemons_per_domain; ++count) {
+  for (int count = 0; count < options_.daemons_per_domain; ++count) {
     for (const char* domain : domains) {
       auto daemon = std::make_unique<daemon_state>();
       const std::string name = std::string(domain) + "-" + std::to_string(count + 1);
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -26,6 +26,7 @@
   std::uint64_t seed = 0;
   milliseconds time{ 12000 }; ///< Of one run, at least 10 s.
   std::uint8_t network = 40;  ///< The run uses the addresses 127.network.x.y.
+  int daemons_per_domain = 2; ///< At most 60.
 
   auto operator<=>(const soak_options&) const = default;
 };
@@ -39,7 +40,7 @@
   auto operator<=>(const soak_result&) const = default;
 };
 
-/// One run: six daemons in three failure domains, their targets and callers, and a store behind proxies, under faults
+/// One run: daemons in three failure domains, their targets and callers, and a store behind proxies, under faults
 /// drawn from a seed. All but the daemons live in this process.
 class soak_run
 {
