Soak: services that move, and targets that are full

A service moves to a new group, also while the targets of its group are full, and the run checks that its flows open at the new group within 3 s of the acknowledgement and that a daemon that has shown a catalogue does not go back behind it (250 ms, by the time at which the copy was sent).

--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -7,6 +7,12 @@
 
 namespace coltsfootlock::soak {
 
+namespace {
+
+constexpr std::size_t max_moves = 6;
+
+}
+
 void
 soak_run::fault_daemon()
 {
@@ -83,10 +89,15 @@
     return;
   }
   const std::string domain = target.record().vm.domain;
-  const std::size_t kind = pick(3);
+  const std::string group = target.record().vm.target_group;
+  const std::size_t kind = pick(4);
+  if (kind == 3) {
+    fill_claims();
+    return;
+  }
   if (kind == 2) {
     note("target leaves " + id);
-    add_target(domain);
+    add_target(domain, group);
     target.leave(now_);
     store_.publish_target(target.record());
     at(drain_bound + milliseconds(1500), [this, &target, id] {
@@ -98,7 +109,26 @@
   note(std::string(kind == 0 ? "target crashes " : "target falls silent ") + id);
   target.set_health(kind == 0 ? soak_target::health::crashed : soak_target::health::dark, now_);
   at(3 * heartbeat, [this, id] { store_.remove_target(id); });
-  at(milliseconds(500), [this, domain] { add_target(domain); });
+  at(milliseconds(500), [this, domain, group] { add_target(domain, group); });
+}
+
+/// The service moves shortly before its full targets take first packets again.
+void
+soak_run::fill_claims()
+{
+  const std::string group = moves_.back().group;
+  const milliseconds time(800 + static_cast<milliseconds::rep>(pick(1700)));
+  note("targets full " + group);
+  for (const auto& target : targets_) {
+    if (target->record().vm.target_group == group) {
+      target->fill(now_ + time);
+    }
+  }
+  at(time - milliseconds(300 + static_cast<milliseconds::rep>(pick(300))), [this, group] {
+    if (moves_.size() < max_moves && moves_.back().group == group) {
+      move_claims();
+    }
+  });
 }
 
 void
@@ -110,6 +140,10 @@
       store_.discard_history();
       break;
     case 1:
+      if (moves_.size() < max_moves && pick(2) == 0) {
+        move_claims();
+        break;
+      }
       note("catalogue changes");
       publish_catalogue();
       break;
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -3,6 +3,7 @@
 #include "soak_times.h"
 
 #include "coltsfootlock/transport/boot_clock.h"
+#include "platform/packet_head.h"
 
 #include <algorithm>
 #include <array>
@@ -34,6 +35,12 @@
 constexpr milliseconds last_requests{ 1500 }; ///< Before the end, no new requests.
 constexpr double served_in_calm = 0.99;
 
+/// A change of the catalogue is in force after this time, and a daemon that showed it does not go back after the other.
+constexpr milliseconds change_bound{ 3000 };
+constexpr milliseconds back_bound{ 250 };
+constexpr int slowed_back_factor = 8;
+
+const std::string shops = "shops";
 const endpoint feed{ 0xc6120001, 443 };
 const endpoint claims{ 0xc6120001, 80 };
 
@@ -53,12 +60,12 @@
     throw std::runtime_error(why.message);
   }
   store_.add_pages(*store_server_);
-  publish_catalogue();
   for (const char* domain : domains) {
     for (int count = 0; count < targets_per_domain; ++count) {
-      add_target(domain);
+      add_target(domain, shops);
     }
   }
+  move_claims();
   add_daemons();
   std::uint8_t number = 1;
   for (const char* domain : domains) {
@@ -129,7 +136,7 @@
 }
 
 void
-soak_run::add_target(const std::string& domain)
+soak_run::add_target(const std::string& domain, const std::string& group)
 {
   target_record record;
   const std::uint8_t number = next_target_++;
@@ -138,7 +145,7 @@
   std::snprintf(digits, sizeof(digits), "t-%llx", static_cast<unsigned long long>(record.tag));
   record.vm.id = digits;
   record.vm.domain = domain;
-  record.vm.target_group = "shops";
+  record.vm.target_group = group;
   record.vm.packet_address = address(2, number, target_port);
   record.vm.load_address = record.vm.packet_address;
   record.vm.incarnation = 1000 + number;
@@ -153,22 +160,36 @@
   catalogue value;
   value.version = ++catalogue_version_;
   value.flow_idle_ms = 15000;
-  const auto add = [&value](const std::string& name, const endpoint& address, bool idempotent) {
-    service entry;
-    entry.name = name;
-    entry.address = address;
-    entry.target_group = "shops";
-    entry.idempotent = idempotent;
-    value.services.push_back(std::move(entry));
-  };
-  add("feed", feed, true);
-  add("claims", claims, false);
+  const auto add =
+    [&value](const std::string& name, const endpoint& address, const std::string& group, bool idempotent) {
+      service entry;
+      entry.name = name;
+      entry.address = address;
+      entry.target_group = group;
+      entry.idempotent = idempotent;
+      value.services.push_back(std::move(entry));
+    };
+  add("feed", feed, shops, true);
+  add("claims", claims, moves_.back().group, false);
   for (std::uint64_t idle = 0; idle < catalogue_version_; ++idle) {
-    add("idle-" + std::to_string(idle), { feed.address, static_cast<std::uint16_t>(2000 + idle) }, true);
+    add("idle-" + std::to_string(idle), { feed.address, static_cast<std::uint16_t>(2000 + idle) }, shops, true);
   }
   store_.publish_catalogue(value);
 }
 
+/// Each group is new, so that a target shows which catalogue a daemon has.
+void
+soak_run::move_claims()
+{
+  const std::string group = "claims-" + std::to_string(moves_.size());
+  note("claims move to " + group);
+  for (const char* domain : domains) {
+    add_target(domain, group);
+  }
+  moves_.push_back({ group, now_ });
+  publish_catalogue();
+}
+
 void
 soak_run::at(milliseconds after, std::function<void()> action)
 {
@@ -189,9 +210,13 @@
       break;
     }
   }
-  if (!in_rotation.empty()) {
-    router_->send(in_rotation[hash_of(flow) % in_rotation.size()]->packets, bytes);
+  if (in_rotation.empty()) {
+    return;
   }
+  if (const auto packet = platform::read_packet(bytes); packet && packet->opens) {
+    sent_opens_[{ flow, packet->acknowledged }] = now_;
+  }
+  router_->send(in_rotation[hash_of(flow) % in_rotation.size()]->packets, bytes);
 }
 
 void
@@ -219,6 +244,7 @@
     daemon_state& ended = *daemon;
     at(milliseconds(200), [this, &ended] {
       ended.end_expected = false;
+      ended.seen_moves.clear();
       disturb(ended, milliseconds(0));
       ended.process->start();
     });
@@ -232,7 +258,11 @@
     for (const soak_target::taken_open& open : target->take_opens()) {
       const auto daemon = std::find_if(
         daemons_.begin(), daemons_.end(), [&open](const auto& one) { return one->packets == open.daemon; });
-      if (daemon == daemons_.end() || now_ - (*daemon)->disturbed_until < contact) {
+      if (daemon == daemons_.end()) {
+        continue;
+      }
+      check_move(open, **daemon);
+      if (now_ - (*daemon)->disturbed_until < contact) {
         continue;
       }
       promises_.check(!open.leaving || now_ - open.leaving_since < drain_bound,
@@ -246,6 +276,31 @@
   }
 }
 
+/// Checks that the flow opened at the group to which the catalogue in force sends its service.
+void
+soak_run::check_move(const soak_target::taken_open& open, daemon_state& daemon)
+{
+  const auto sent = sent_opens_.find({ open.flow, open.copy });
+  const auto move =
+    std::find_if(moves_.begin(), moves_.end(), [&open](const service_move& one) { return one.group == open.group; });
+  if (sent == sent_opens_.end() || move == moves_.end()) {
+    return;
+  }
+  const auto number = static_cast<std::size_t>(move - moves_.begin());
+  daemon.seen_moves.try_emplace(number, now_);
+  const bool undisturbed = now_ - daemon.disturbed_until >= contact;
+  const std::string detail = open.group + " from " + to_string(open.daemon) + " copy " + std::to_string(open.copy) +
+                             " of " + to_string(open.flow.caller);
+  const auto later = daemon.seen_moves.upper_bound(number);
+  promises_.check(later == daemon.seen_moves.end() ||
+                    sent->second - later->second <= back_bound * (undisturbed ? 1 : slowed_back_factor),
+                  "a daemon does not go back behind a catalogue",
+                  detail);
+  promises_.check(!undisturbed || move + 1 == moves_.end() || sent->second - (move + 1)->published < change_bound,
+                  "a moved service opens flows at its new group",
+                  detail);
+}
+
 void
 soak_run::check_reset(const flow_key& flow)
 {
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -61,18 +61,28 @@
     int misses = 2;
     bool end_expected = false;
     instant disturbed_until;
+    std::map<std::size_t, instant> seen_moves; ///< By number of the move: when a target first showed it, in this boot.
+  };
+
+  /// The claims service moves to another group.
+  struct service_move
+  {
+    std::string group;
+    instant published;
   };
 
   endpoint address(std::uint8_t group, std::uint8_t number, std::uint16_t port) const;
   std::size_t pick(std::size_t count);
   void add_daemons();
-  void add_target(const std::string& domain);
+  void add_target(const std::string& domain, const std::string& group);
+  void move_claims();
   void publish_catalogue();
   void at(milliseconds after, std::function<void()> action);
   void advance();
   void check_ready(daemon_state& daemon);
   void check_ends();
   void check_opens();
+  void check_move(const soak_target::taken_open& open, daemon_state& daemon);
   void check_reset(const flow_key& flow);
   void route(const std::string& domain, const flow_key& flow, const std::string& bytes);
   void disturb(daemon_state& daemon, milliseconds time);
@@ -80,6 +90,7 @@
   void fault_daemon();
   void fault_link();
   void fault_target();
+  void fill_claims();
   void fault_store();
   void heal();
   void check_end(instant calm_from, instant calm_until, soak_result& result);
@@ -97,6 +108,8 @@
   std::vector<std::unique_ptr<soak_caller>> callers_;
   std::multimap<instant, std::function<void()>> actions_;
   std::map<std::string, instant> withdrawn_;
+  std::vector<service_move> moves_;
+  std::map<std::pair<flow_key, std::uint32_t>, instant> sent_opens_; ///< By flow and number of the copy.
   std::optional<udp_socket> router_;
   std::uint8_t next_target_ = 1;
   std::uint64_t catalogue_version_ = 0;
--- a/tests/soak/soak_target.cpp
+++ b/tests/soak/soak_target.cpp
@@ -99,14 +99,23 @@
 }
 
 void
-soak_target::on_open(const made_packet& packet, const endpoint& daemon)
+soak_target::on_open(const made_packet& packet, const endpoint& daemon, instant now)
 {
+  if (now < full_until_) {
+    return;
+  }
   const flow_key flow{ packet.source, packet.destination };
   held_flow& held = flows_[flow];
   if (!held.open) {
     held.next_of_caller = packet.sequence + 1;
   }
-  opens_.push_back({ record_.vm.domain, record_.vm.leaving, leaving_since_, daemon });
+  opens_.push_back({ record_.vm.domain,
+                     record_.vm.target_group,
+                     record_.vm.leaving,
+                     leaving_since_,
+                     daemon,
+                     flow,
+                     packet.acknowledged });
   made_packet answer{ packet.destination, packet.source, packet.token, true, true, false, false, 0, 0, "" };
   answer.acknowledged = packet.sequence + 1;
   send(answer);
@@ -170,7 +179,7 @@
     return;
   }
   if (packet->opens) {
-    on_open(read, daemon);
+    on_open(read, daemon, now);
   } else {
     on_data(read, now);
   }
--- a/tests/soak/soak_target.h
+++ b/tests/soak/soak_target.h
@@ -33,9 +33,12 @@
   struct taken_open
   {
     std::string domain; ///< Of the target.
+    std::string group;  ///< Of the target.
     bool leaving = false;
     instant leaving_since;
     endpoint daemon;
+    flow_key flow;
+    std::uint32_t copy = 0; ///< 0 for the original.
   };
 
   soak_target(const target_record& record, std::uint16_t caller_port, promise_log& promises);
@@ -44,6 +47,9 @@
   void set_health(health value, instant now);
   void leave(instant now);
 
+  /// Takes no first packets until then. Open flows go on.
+  void fill(instant until) { full_until_ = until; }
+
   /// First packets taken since the last call.
   std::vector<taken_open> take_opens();
 
@@ -71,7 +77,7 @@
   };
 
   void on_datagram(const std::string& datagram, const endpoint& daemon, instant now);
-  void on_open(const platform::stand_ins::made_packet& packet, const endpoint& daemon);
+  void on_open(const platform::stand_ins::made_packet& packet, const endpoint& daemon, instant now);
   void on_data(const platform::stand_ins::made_packet& packet, instant now);
   void send(const platform::stand_ins::made_packet& answer);
   void listen();
@@ -84,6 +90,7 @@
   health health_ = health::serving;
   instant disturbed_;
   instant leaving_since_;
+  instant full_until_;
   std::map<flow_key, held_flow> flows_;
   std::multimap<instant, due_answer> answers_;
   std::vector<taken_open> opens_;
