--- a/include/coltsfootlock/coordination/steering/steering_decision.h
+++ b/include/coltsfootlock/coordination/steering/steering_decision.h
@@ -18,7 +18,7 @@
   named,    ///< The packet names the target.
   placed,   ///< First packet of a flow.
   repeated, ///< Copy of a first packet, forwarded to the same target.
-  moved     ///< Copy of a first packet, forwarded to another target because the first one was silent.
+  moved     ///< Copy of a first packet, forwarded to another target: the first one was silent, or gets no new flows.
 };
 
 enum class flow_end_reason : std::uint8_t
--- a/libraries/coordination/steering/tests/steering_fixture.h
+++ b/libraries/coordination/steering/tests/steering_fixture.h
@@ -72,6 +72,18 @@
     return target;
   }
 
+  /// Passes a list of the feed service and target 1 to a daemon that has just started; it is not confirmed.
+  void list_one_target(steering_engine& started) const
+  {
+    auto services = std::make_shared<catalogue>();
+    services->version = 1;
+    services->services = { make_service(feed, "feed") };
+    started.on_snapshot_begin();
+    started.on_record({ 1, catalogue_published{ services } }, {}, now);
+    started.on_record({ 2, target_published{ make_target(1, "a") } }, {}, now);
+    started.on_snapshot_complete(2, {}, now);
+  }
+
   void publish(const target_record& target)
   {
     engine.on_record({ ++revision, target_published{ target } }, outage_grace_end, now);
--- a/libraries/coordination/steering/tests/test_steering_engine.cpp
+++ b/libraries/coordination/steering/tests/test_steering_engine.cpp
@@ -95,13 +95,7 @@
 BOOST_AUTO_TEST_CASE(no_flow_is_opened_with_records_that_are_not_confirmed)
 {
   steering_engine started(make_settings());
-  auto services = std::make_shared<catalogue>();
-  services->version = 1;
-  services->services = { make_service(feed, "feed") };
-  started.on_snapshot_begin();
-  started.on_record({ 1, catalogue_published{ services } }, {}, now);
-  started.on_record({ 2, target_published{ make_target(1, "a") } }, {}, now);
-  started.on_snapshot_complete(2, {}, now);
+  list_one_target(started);
   carried_packet first;
   first.flow = flow_of(1);
   first.opens = true;
@@ -120,13 +114,7 @@
 BOOST_AUTO_TEST_CASE(flows_are_opened_with_unconfirmed_records_if_the_store_does_not_answer)
 {
   steering_engine started(make_settings());
-  auto services = std::make_shared<catalogue>();
-  services->version = 1;
-  services->services = { make_service(feed, "feed") };
-  started.on_snapshot_begin();
-  started.on_record({ 1, catalogue_published{ services } }, {}, now);
-  started.on_record({ 2, target_published{ make_target(1, "a") } }, {}, now);
-  started.on_snapshot_complete(2, {}, now);
+  list_one_target(started);
   BOOST_TEST(!started.accepts_flows());
   started.on_confirmation_unavailable();
   carried_packet first;
