--- a/review/stand_ins_2/cold_service.cpp
+++ b/review/stand_ins_2/cold_service.cpp
@@ -1,7 +1,7 @@
 // All hosts of a service have just started, and its route gets traffic.
 //   change: the manifest leads the route to them some seconds after their start
-//   kill:   it leads there from the beginning, and all daemons are killed and start again
-// Usage: cold_service DIRECTORY RECORD change|kill TROUBLE
+//   seeds:  it leads there from the beginning, and the seeds of the daemons are stale
+// Usage: cold_service DIRECTORY RECORD change|seeds TROUBLE
 #include "client.h"
 #include "event_loop.h"
 #include "fleet.h"
@@ -39,8 +39,6 @@
 constexpr std::int64_t lead_ms = 10000; // Traffic starts 10 s after the machines.
 constexpr std::int64_t new_hosts_ms = lead_ms + 3000;
 constexpr std::int64_t change_ms = new_hosts_ms + 4000;
-constexpr std::int64_t kill_ms = new_hosts_ms + 2000;
-constexpr std::int64_t down_ms = 1000;
 constexpr std::int64_t end_ms = new_hosts_ms + warmup_ms;
 
 constexpr std::uint16_t route_port = 8443;
@@ -89,7 +87,7 @@
   }
   const bool trouble = std::string(argv[4]) != "0";
   const bool changes = std::string(argv[3]) == "change" && trouble;
-  const bool kills = std::string(argv[3]) == "kill" && trouble;
+  const bool stale_seeds = std::string(argv[3]) == "seeds" && trouble;
   const auto number = static_cast<unsigned>(getpid());
   event_loop loop;
   fleet balancers(loop,
@@ -99,7 +97,8 @@
                     100 + number % 100,
                     static_cast<std::uint16_t>(20000 + number % 5000),
                     daemons_per_zone,
-                    1200 });
+                    1200,
+                    stale_seeds });
   store registry(loop, balancers.store_address(), balancers.store_port());
   host_observer observer;
   std::map<std::string, std::vector<opening>> cold_openings;
@@ -144,13 +143,6 @@
   if (changes) {
     loop.at(start + change_ms, [&] { registry.put("op/config", manifest(7, "new")); });
   }
-  if (kills) {
-    loop.at(start + kill_ms, [&] {
-      for (machine& one : balancers.machines()) {
-        balancers.kill(one, down_ms);
-      }
-    });
-  }
   for (std::size_t zone = 0; zone < clients.size(); ++zone) {
     for (std::int64_t time = lead_ms; time < end_ms; time += 1000 / requests_per_s) {
       loop.at(start + time,
@@ -173,9 +165,9 @@
   bool any = false;
   std::fprintf(record,
                "%s; a cold host bears %g requests a second, limit in one second: %zu\n",
-               changes ? "the manifest changes at 4.0 s"
-               : kills ? "all daemons are killed at 2.0 s"
-                       : "no disruption",
+               changes       ? "the manifest changes at 4.0 s"
+               : stale_seeds ? "the seeds are stale"
+                             : "no disruption",
                warmup_per_s,
                limit);
   for (const auto& [id, openings] : cold_openings) {
--- a/review/stand_ins_2/fleet.cpp
+++ b/review/stand_ins_2/fleet.cpp
@@ -93,7 +93,9 @@
   for (const machine& other : machines_) {
     if (std::count(seen.begin(), seen.end(), other.zone) == 0 && seen.size() < 3) {
       seen.push_back(other.zone);
-      seeds += (seeds.empty() ? "" : ",") + endpoint(other.address, 2);
+      const std::uint32_t seed =
+        settings_.stale_seeds ? address(251, static_cast<std::uint32_t>(seen.size())) : other.address;
+      seeds += (seeds.empty() ? "" : ",") + endpoint(seed, 2);
     }
   }
   return fill_in(read_file(settings_.settings_template),
--- a/review/stand_ins_2/fleet.h
+++ b/review/stand_ins_2/fleet.h
@@ -22,6 +22,7 @@
   std::uint16_t first_port = 0;
   std::vector<std::size_t> daemons_per_zone;
   unsigned heartbeat_ms = 1200;
+  bool stale_seeds = false; ///< The seeds are addresses at which no machine is any more.
 };
 
 struct machine
--- a/review/stand_ins_2/host.cpp
+++ b/review/stand_ins_2/host.cpp
@@ -52,6 +52,7 @@
 void
 host::report(const std::string& state)
 {
+  state_ = state;
   entry_ = "{\"service\":\"" + settings_.service + "\",\"address\":\"" + address_text(settings_.address) + ":" +
            std::to_string(settings_.port) + "\",\"zone\":\"" + settings_.zone +
            "\",\"version\":\"v1\",\"slots\":" + std::to_string(settings_.slots) + ",\"state\":\"" + state +
@@ -65,11 +66,25 @@
 host::heartbeat()
 {
   loop_.after(settings_.heartbeat_ms, [this] { heartbeat(); });
-  if (!registry_.has("servers/" + settings_.id, entry_)) {
-    report("ready");
+  if (!ended_ && !registry_.has("servers/" + settings_.id, entry_)) {
+    report(state_);
   }
 }
 
+void
+host::leave(std::int64_t serving_ms)
+{
+  report("draining");
+  loop_.after(serving_ms, [this] {
+    ended_ = true;
+    registry_.remove("servers/" + settings_.id);
+    loop_.forget(socket_);
+    loop_.forget(listener_);
+    close(socket_);
+    close(listener_);
+  });
+}
+
 void
 host::receive()
 {
@@ -95,7 +110,7 @@
   auto found = flows_.find(key);
   if ((one.flags & flag_syn) != 0) {
     if (found == flows_.end()) {
-      if (waiting_.size() >= settings_.queue) {
+      if (waiting_.size() >= settings_.queue || ended_) {
         return; // Full.
       }
       flow opened;
@@ -165,6 +180,9 @@
     const std::int64_t spread = std::max<std::int64_t>(settings_.max_work_ms - settings_.work_ms, 0) + 1;
     loop_.after(is_cold() ? settings_.cold_work_ms : settings_.work_ms + std::rand() % spread, [this, key] {
       --busy_;
+      if (ended_) {
+        return;
+      }
       if (const auto found = flows_.find(key); found != flows_.end()) {
         flow& known = found->second;
         known.working = false;
@@ -186,7 +204,7 @@
   if (found == flows_.end() || found->second.answer.empty() || found->second.answer_sequence != sequence) {
     return;
   }
-  if (tries > max_retransmissions) {
+  if (ended_ || tries > max_retransmissions) {
     flows_.erase(found);
     return;
   }
--- a/review/stand_ins_2/host.h
+++ b/review/stand_ins_2/host.h
@@ -46,6 +46,14 @@
   /// Writes the host's entry.
   void report(const std::string& state);
   const std::string& id() const { return settings_.id; }
+  const std::string& service() const { return settings_.service; }
+
+  /// The entry as the host wrote it last.
+  const std::string& entry() const { return entry_; }
+
+  /// Reports that it leaves, goes on serving for `serving_ms`, and ends. Flows end with their next answer.
+  void leave(std::int64_t serving_ms);
+  bool has_ended() const { return ended_; }
   bool is_cold() const;
 
 private:
@@ -85,6 +93,8 @@
   std::int64_t born_;
   std::uint64_t sequence_ = 0;
   std::string entry_;
+  std::string state_ = "ready";
+  bool ended_ = false;
   std::map<flow_key, flow> flows_;
   std::deque<flow_key> waiting_;
   unsigned busy_ = 0;
