--- a/review/stand_ins_2/fleet.cpp
+++ b/review/stand_ins_2/fleet.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdlib>
 #include <fstream>
+#include <iterator>
 #include <memory>
 #include <sstream>
 #include <utility>
@@ -22,6 +23,8 @@
 constexpr std::int64_t probe_interval_ms = 500;
 constexpr std::int64_t probe_timeout_ms = 400;
 constexpr int misses_out_of_rotation = 2;
+constexpr std::int64_t watch_interval_ms = 50;
+constexpr std::int64_t restart_delay_ms = 500;
 
 /// Replaces `{{name}}`; a section `{{#name}} .. {{/name}}` is kept without its marks.
 std::string
@@ -98,24 +101,28 @@
       seeds += (seeds.empty() ? "" : ",") + endpoint(seed, 2);
     }
   }
-  return fill_in(read_file(settings_.settings_template),
-                 { { "node-name", one.name },
-                   { "zone", zone_name(one.zone) },
-                   { "ip", address_text(one.address) },
-                   { "listen.datagram-addr", endpoint(one.address, 0) },
-                   { "listen.ready", endpoint(one.address, 1) },
-                   { "listen.control", endpoint(one.address, 2) },
-                   { "seeds", seeds },
-                   { "platform.address", endpoint(store_address(), 3) },
-                   { "heartbeat-ms", std::to_string(settings_.heartbeat_ms) },
-                   { "bounds.flow-lifetime-s", "60" },
-                   { "limits.link-mbps", "1000.0" },
-                   { "bounds.grace-s", "6" } });
+  std::map<std::string, std::string> values{ { "node-name", one.name },
+                                             { "zone", zone_name(one.zone) },
+                                             { "ip", address_text(one.address) },
+                                             { "listen.datagram-addr", endpoint(one.address, 0) },
+                                             { "listen.ready", endpoint(one.address, 1) },
+                                             { "listen.control", endpoint(one.address, 2) },
+                                             { "seeds", seeds },
+                                             { "platform.address", endpoint(store_address(), 3) },
+                                             { "heartbeat-ms", std::to_string(settings_.heartbeat_ms) },
+                                             { "bounds.flow-lifetime-s", "60" },
+                                             { "limits.link-mbps", "1000.0" },
+                                             { "bounds.grace-s", "6" } };
+  for (const auto& [name, value] : one.changed_settings) {
+    values[name] = value;
+  }
+  return fill_in(read_file(settings_.settings_template), values);
 }
 
 void
 fleet::start_all()
 {
+  watch_processes();
   for (std::size_t index = 0; index < machines_.size(); ++index) {
     start(machines_[index]);
     loop_.after(static_cast<std::int64_t>(20 * index), [this, index] { probe(index); });
@@ -153,12 +160,41 @@
 }
 
 void
-fleet::kill(machine& one, std::int64_t down_ms)
+fleet::change_setting(machine& one, const std::string& name, const std::string& value)
+{
+  one.changed_settings[name] = value;
+  std::ofstream(settings_.directory + "/" + one.name + ".conf") << settings_text(one);
+  ::kill(one.process, SIGHUP);
+}
+
+void
+fleet::stop(machine& one, std::int64_t grace_ms)
 {
-  ::kill(one.process, SIGKILL);
-  waitpid(one.process, nullptr, 0);
-  one.process = 0;
-  loop_.after(down_ms, [this, &one] { start(one); });
+  one.stopping = true;
+  ::kill(one.process, SIGTERM);
+  loop_.after(grace_ms, [&one, process = one.process] {
+    if (one.process == process) {
+      ::kill(process, SIGKILL);
+    }
+  });
+}
+
+/// A process that ends is started again after a short delay.
+void
+fleet::watch_processes()
+{
+  loop_.after(watch_interval_ms, [this] { watch_processes(); });
+  for (machine& one : machines_) {
+    if (one.process <= 0 || waitpid(one.process, nullptr, WNOHANG) != one.process) {
+      continue;
+    }
+    one.process = 0;
+    if (!one.stopping) {
+      one.own_ends.push_back(now_ms());
+    }
+    one.stopping = false;
+    loop_.after(restart_delay_ms, [this, &one] { start(one); });
+  }
 }
 
 std::size_t
@@ -209,8 +245,12 @@
 fleet::forward(std::size_t zone, int socket, const packet& one)
 {
   std::vector<const machine*> all;
+  std::vector<const machine*> others;
   std::vector<const machine*> in_rotation;
   for (const machine& candidate : machines_) {
+    if (candidate.zone != zone) {
+      others.push_back(&candidate);
+    }
     if (candidate.zone == zone) {
       all.push_back(&candidate);
       if (candidate.misses < misses_out_of_rotation) {
@@ -218,6 +258,12 @@
       }
     }
   }
+  if (in_rotation.empty()) { // The daemons of other zones.
+    std::copy_if(others.begin(), others.end(), std::back_inserter(in_rotation), [](const machine* other) {
+      return other->misses < misses_out_of_rotation;
+    });
+    all = in_rotation.empty() ? all : in_rotation;
+  }
   const auto& used = in_rotation.size() * 2 < all.size() ? all : in_rotation;
   std::uint64_t hash = one.source;
   hash = hash * 1000003U + one.source_port;
--- a/review/stand_ins_2/fleet.h
+++ b/review/stand_ins_2/fleet.h
@@ -32,6 +32,9 @@
   std::uint32_t address = 0;
   pid_t process = 0;
   int misses = 2; ///< Readiness checks in a row without 200.
+  std::map<std::string, std::string> changed_settings;
+  bool stopping = false;              ///< After SIGTERM, until the process has ended.
+  std::vector<std::int64_t> own_ends; ///< When its process ended by itself.
 };
 
 class fleet
@@ -50,8 +53,11 @@
 
   void start_all();
 
-  /// Kills the process; it starts again after `down_ms`.
-  void kill(machine& one, std::int64_t down_ms);
+  /// Writes the settings file with this value under the platform's name, and sends SIGHUP.
+  void change_setting(machine& one, const std::string& name, const std::string& value);
+
+  /// Sends SIGTERM, and SIGKILL after `grace_ms`. The process starts again after a short delay.
+  void stop(machine& one, std::int64_t grace_ms);
 
   /// Passes a client's packet to a daemon of the client's zone that is in rotation.
   void forward(std::size_t zone, int socket, const packet& one);
@@ -62,6 +68,7 @@
 private:
   void start(machine& one);
   void probe(std::size_t index);
+  void watch_processes();
   std::string settings_text(const machine& one) const;
 
   event_loop& loop_;
--- a/review/stand_ins_2/host.cpp
+++ b/review/stand_ins_2/host.cpp
@@ -164,7 +164,6 @@
     return;
   }
   known.client_sequence += static_cast<std::uint32_t>(one.data.size());
-  known.working = true;
   observer_.on_run(settings_.id, one);
   waiting_.push_back(key);
   start_work();
@@ -185,7 +184,6 @@
       }
       if (const auto found = flows_.find(key); found != flows_.end()) {
         flow& known = found->second;
-        known.working = false;
         known.answer = "HTTP/1.1 200 OK\r\nColtsfootlock-Response-Stamp: " + settings_.id + "\r\n\r\n";
         known.answer_sequence = known.own_sequence;
         known.own_sequence += static_cast<std::uint32_t>(known.answer.size());
--- a/review/stand_ins_2/host.h
+++ b/review/stand_ins_2/host.h
@@ -46,14 +46,12 @@
   /// Writes the host's entry.
   void report(const std::string& state);
   const std::string& id() const { return settings_.id; }
-  const std::string& service() const { return settings_.service; }
 
   /// The entry as the host wrote it last.
   const std::string& entry() const { return entry_; }
 
   /// Reports that it leaves, goes on serving for `serving_ms`, and ends. Flows end with their next answer.
   void leave(std::int64_t serving_ms);
-  bool has_ended() const { return ended_; }
   bool is_cold() const;
 
 private:
@@ -67,7 +65,6 @@
     std::uint32_t answer_sequence = 0;
     std::string answer; ///< Kept until the client has acknowledged it.
     bool open = false;
-    bool working = false;
   };
 
   void heartbeat();
--- a/review/stand_ins_2/store.cpp
+++ b/review/stand_ins_2/store.cpp
@@ -145,7 +145,6 @@
 void
 store::handle(int descriptor, const std::string& target)
 {
-  ++calls_;
   const std::string prefix = query_value(target, "prefix");
   if (target.starts_with("/kv-range?")) {
     answer(descriptor, 200, range(prefix, query_value(target, "after")));
--- a/review/stand_ins_2/store.h
+++ b/review/stand_ins_2/store.h
@@ -23,8 +23,6 @@
   /// True if the item is there with this value.
   bool has(const std::string& key, const std::string& value) const;
 
-  std::uint64_t calls() const { return calls_; }
-
 private:
   struct item
   {
@@ -64,7 +62,6 @@
   std::map<std::string, item> items_;
   std::vector<change> changes_;
   std::uint64_t revision_ = 100;
-  std::uint64_t calls_ = 0;
 };
 
 }
