review: case 10, a daemon resets flows of full hosts that serve

Cause: three refused liveness checks make a host dead for a daemon that sees no answer of it; answers that daemons of other zones see do not count.

The stand-in of a host can refuse checks while it is full.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/stand_ins_2"
 mkdir -p target
-for program in foreign_entry foreign_copy fraction_bound cold_service; do
+for program in foreign_entry foreign_copy fraction_bound saturation cold_service; do
   "${CXX:-g++}" -std=c++20 -O2 -Wall -Wextra -o "target/$program" "$program.cpp" \
     event_loop.cpp packet.cpp store.cpp host.cpp fleet.cpp client.cpp
 done
--- a/review/stand_ins_2/host.cpp
+++ b/review/stand_ins_2/host.cpp
@@ -30,16 +30,38 @@
   , born_(static_cast<std::int64_t>(std::time(nullptr)) * 1000)
 {
   loop_.watch(socket_, [this] { receive(); });
+  accept_checks();
+  report("ready");
+  loop_.after(settings_.heartbeat_ms, [this] { heartbeat(); });
+  if (settings_.cold_ms > 0) {
+    loop_.at(warm_at_, [this] { report("ready"); });
+  }
+}
+
+void
+host::accept_checks()
+{
   loop_.watch(listener_, [this] {
     const int caller = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
     if (caller >= 0) {
       close(caller);
     }
   });
-  report("ready");
-  loop_.after(settings_.heartbeat_ms, [this] { heartbeat(); });
-  if (settings_.cold_ms > 0) {
-    loop_.at(warm_at_, [this] { report("ready"); });
+}
+
+void
+host::set_listening()
+{
+  if (!settings_.refuses_when_full || ended_ || is_full() == (listener_ < 0)) {
+    return;
+  }
+  if (is_full()) {
+    loop_.forget(listener_);
+    close(listener_);
+    listener_ = -1;
+  } else {
+    listener_ = listen_tcp(settings_.address, settings_.port);
+    accept_checks();
   }
 }
 
@@ -110,7 +132,7 @@
   auto found = flows_.find(key);
   if ((one.flags & flag_syn) != 0) {
     if (found == flows_.end()) {
-      if (waiting_.size() >= settings_.queue || ended_) {
+      if (is_full() || ended_) {
         return; // Full.
       }
       flow opened;
@@ -164,6 +186,10 @@
     return;
   }
   known.client_sequence += static_cast<std::uint32_t>(one.data.size());
+  if (is_full()) {
+    finish(key, "503 Service Unavailable\r\nColtsfootlock-Not-Executed: 1");
+    return;
+  }
   observer_.on_run(settings_.id, one);
   waiting_.push_back(key);
   start_work();
@@ -172,6 +198,7 @@
 void
 host::start_work()
 {
+  set_listening();
   while (busy_ < settings_.slots && !waiting_.empty()) {
     const flow_key key = waiting_.front();
     waiting_.pop_front();
@@ -182,16 +209,25 @@
       if (ended_) {
         return;
       }
-      if (const auto found = flows_.find(key); found != flows_.end()) {
-        flow& known = found->second;
-        known.answer = "HTTP/1.1 200 OK\r\nColtsfootlock-Response-Stamp: " + settings_.id + "\r\n\r\n";
-        known.answer_sequence = known.own_sequence;
-        known.own_sequence += static_cast<std::uint32_t>(known.answer.size());
-        resend_answer(key, known.answer_sequence, 0);
-      }
+      finish(key, "200 OK");
       start_work();
     });
   }
+  set_listening();
+}
+
+void
+host::finish(const flow_key& key, const std::string& status)
+{
+  const auto found = flows_.find(key);
+  if (found == flows_.end()) {
+    return;
+  }
+  flow& known = found->second;
+  known.answer = "HTTP/1.1 " + status + "\r\nColtsfootlock-Response-Stamp: " + settings_.id + "\r\n\r\n";
+  known.answer_sequence = known.own_sequence;
+  known.own_sequence += static_cast<std::uint32_t>(known.answer.size());
+  resend_answer(key, known.answer_sequence, 0);
 }
 
 /// Sends the answer, and again until it is acknowledged.
--- a/review/stand_ins_2/host.h
+++ b/review/stand_ins_2/host.h
@@ -27,6 +27,7 @@
   std::int64_t work_ms = 20;
   std::int64_t max_work_ms = 0; ///< Work takes a random time from `work_ms` to this, if it is larger.
   std::int64_t heartbeat_ms = 1200;
+  bool refuses_when_full = false; ///< Connections for liveness checks, since one of them occupies a slot.
   std::int64_t cold_work_ms = 20; ///< While the host is cold.
   std::int64_t cold_ms = 0;       ///< How long it stays cold; 0 for a host that was there before the traffic.
 };
@@ -68,6 +69,10 @@
   };
 
   void heartbeat();
+  bool is_full() const { return busy_ >= settings_.slots && waiting_.size() >= settings_.queue; }
+  void accept_checks();
+  void set_listening();
+  void finish(const flow_key& key, const std::string& status);
   void receive();
   void on_packet(const packet& one);
   void on_request(const flow_key& key, flow& known, const packet& one);
