--- a/review/stand_ins_2/cold_service.cpp
+++ b/review/stand_ins_2/cold_service.cpp
@@ -143,10 +143,9 @@
   if (changes) {
     loop.at(start + change_ms, [&] { registry.put("op/config", manifest(7, "new")); });
   }
-  for (std::size_t zone = 0; zone < clients.size(); ++zone) {
+  for (const auto& callers : clients) {
     for (std::int64_t time = lead_ms; time < end_ms; time += 1000 / requests_per_s) {
-      loop.at(start + time,
-              [&, zone] { clients[zone]->request(127U << 24U | 255U << 16U | 1U, route_port, budget_ms, 2); });
+      loop.at(start + time, [&callers] { callers->request(127U << 24U | 255U << 16U | 1U, route_port, budget_ms, 2); });
     }
   }
   loop.run_until(start + lead_ms);
--- a/review/stand_ins_2/foreign_copy.cpp
+++ b/review/stand_ins_2/foreign_copy.cpp
@@ -34,9 +34,11 @@
 constexpr std::int64_t reports_per_s = 6;
 
 constexpr std::int64_t lead_ms = 10000;
-// Each copy comes 100 ms after a heartbeat of the host. All is calm for longer than `contact-ms` before the first one.
-constexpr std::int64_t first_copy_ms = 15 * 1200 + 100;
-constexpr std::int64_t copy_interval_ms = 3 * 1200;
+// Each copy comes after the next heartbeat of the host. All is calm for longer than `contact-ms` before the first one.
+constexpr std::int64_t heartbeat_ms = 1200;
+constexpr std::int64_t copy_after_heartbeat_ms = 100;
+constexpr std::int64_t first_copy_ms = lead_ms + 8000;
+constexpr std::int64_t copy_interval_ms = 3600;
 constexpr unsigned copies = 4;
 constexpr std::int64_t copy_after_leaving_ms = 4000;
 constexpr std::int64_t serving_ms = 7000; // How long a leaving host serves.
@@ -145,12 +147,12 @@
   }
   registry.put("op/config", manifest);
   balancers.start_all();
-  for (std::size_t zone = 0; zone < clients.size(); ++zone) {
+  for (const auto& callers : clients) {
     for (std::int64_t time = lead_ms; time < end_ms; time += 1000 / claims_per_s) {
-      loop.at(start + time, [&, zone] { clients[zone]->request(route_address, claim_port, budget_ms, 2); });
+      loop.at(start + time, [&callers] { callers->request(route_address, claim_port, budget_ms, 2); });
     }
     for (std::int64_t time = lead_ms; time < end_ms; time += 1000 / reports_per_s) {
-      loop.at(start + time, [&, zone] { clients[zone]->request(route_address, report_port, budget_ms, 2); });
+      loop.at(start + time, [&callers] { callers->request(route_address, report_port, budget_ms, 2); });
     }
   }
   for (unsigned count = 0; count < copies; ++count) {
@@ -165,11 +167,16 @@
     }
     if (trouble) {
       loop.at(time, [&] {
-        std::string copy = replace(one.entry(), R"("version":"v1",)", "");
-        copy = drains ? replace(copy, "draining", "ready") : replace(copy, "claims", "reports");
-        registry.put("servers/" + one.id(), copy);
-        std::fprintf(
-          record, "%6.3f s: another writer replaces the entry of %s: %s\n", seconds(), one.id().c_str(), copy.c_str());
+        loop.at(one.last_heartbeat() + heartbeat_ms + copy_after_heartbeat_ms, [&] {
+          std::string copy = replace(one.entry(), R"("version":"v1",)", "");
+          copy = drains ? replace(copy, "draining", "ready") : replace(copy, "claims", "reports");
+          registry.put("servers/" + one.id(), copy);
+          std::fprintf(record,
+                       "%6.3f s: another writer replaces the entry of %s: %s\n",
+                       seconds(),
+                       one.id().c_str(),
+                       copy.c_str());
+        });
       });
     }
   }
--- a/review/stand_ins_2/foreign_entry.cpp
+++ b/review/stand_ins_2/foreign_entry.cpp
@@ -128,10 +128,10 @@
   }
   registry.put("op/config", manifest);
   balancers.start_all();
-  for (std::size_t zone = 0; zone < clients.size(); ++zone) {
+  for (const auto& callers : clients) {
     for (unsigned count = 0; count < flows_per_zone; ++count) {
-      loop.at(start + lead_ms + 50 * count, [&, zone] {
-        clients[zone]->keep_flow(127U << 24U | 255U << 16U | 1U, route_port, budget_ms, min_pause_ms, max_pause_ms);
+      loop.at(start + lead_ms + 50 * count, [&callers] {
+        callers->keep_flow(127U << 24U | 255U << 16U | 1U, route_port, budget_ms, min_pause_ms, max_pause_ms);
       });
     }
   }
--- a/review/stand_ins_2/fraction_bound.cpp
+++ b/review/stand_ins_2/fraction_bound.cpp
@@ -82,9 +82,9 @@
   }
   registry.put("op/config", manifest);
   balancers.start_all();
-  for (std::size_t zone = 0; zone < clients.size(); ++zone) {
+  for (const auto& callers : clients) {
     for (std::int64_t time = lead_ms; time < end_ms; time += 1000 / requests_per_s) {
-      loop.at(start + time, [&, zone] { clients[zone]->request(127U << 24U | 255U << 16U | 1U, 8443, budget_ms, 2); });
+      loop.at(start + time, [&callers] { callers->request(127U << 24U | 255U << 16U | 1U, 8443, budget_ms, 2); });
     }
   }
   std::vector<machine>& machines = balancers.machines();
--- a/review/stand_ins_2/host.cpp
+++ b/review/stand_ins_2/host.cpp
@@ -28,6 +28,7 @@
   , tag_(std::strtoull(settings_.id.substr(settings_.id.rfind('-') + 1).c_str(), nullptr, 16))
   , warm_at_(now_ms() + settings_.cold_ms)
   , born_(static_cast<std::int64_t>(std::time(nullptr)) * 1000)
+  , last_heartbeat_(now_ms())
 {
   loop_.watch(socket_, [this] { receive(); });
   accept_checks();
@@ -87,6 +88,7 @@
 void
 host::heartbeat()
 {
+  last_heartbeat_ = now_ms();
   loop_.after(settings_.heartbeat_ms, [this] { heartbeat(); });
   if (!ended_ && !registry_.has("servers/" + settings_.id, entry_)) {
     report(state_);
--- a/review/stand_ins_2/host.h
+++ b/review/stand_ins_2/host.h
@@ -51,6 +51,8 @@
   /// The entry as the host wrote it last.
   const std::string& entry() const { return entry_; }
 
+  std::int64_t last_heartbeat() const { return last_heartbeat_; }
+
   /// Reports that it leaves, goes on serving for `serving_ms`, and ends. Flows end with their next answer.
   void leave(std::int64_t serving_ms);
   bool is_cold() const;
@@ -97,6 +99,7 @@
   std::string entry_;
   std::string state_ = "ready";
   bool ended_ = false;
+  std::int64_t last_heartbeat_;
   std::map<flow_key, flow> flows_;
   std::deque<flow_key> waiting_;
   unsigned busy_ = 0;
--- a/review/stand_ins_2/saturation.cpp
+++ b/review/stand_ins_2/saturation.cpp
@@ -118,18 +118,19 @@
   balancers.start_all();
   const std::size_t last = clients.size() - 1;
   for (std::size_t zone = 0; zone < clients.size(); ++zone) {
+    client* const callers = clients[zone].get();
     for (unsigned count = 0; count < kept_flows; ++count) {
-      loop.at(start + lead_ms + 300 * count, [&, zone] {
-        clients[zone]->keep_flow(route_address, route_port, budget_ms, min_pause_ms, max_pause_ms);
-      });
+      loop.at(start + lead_ms + 300 * count,
+              [callers] { callers->keep_flow(route_address, route_port, budget_ms, min_pause_ms, max_pause_ms); });
     }
     const double per_ms =
       static_cast<double>(new_flows_per_s) / 1000 / static_cast<double>(last) / (zone == last ? 20 : 1);
     double owed = 0;
     for (std::int64_t time = lead_ms; time < end_ms; ++time) {
       owed += per_ms * (trouble && in_burst(time) ? burst_factor : 1);
-      for (; owed >= 1; owed -= 1) {
-        loop.at(start + time, [&, zone] { clients[zone]->request(route_address, route_port, budget_ms, 2); });
+      while (owed >= 1) {
+        owed -= 1;
+        loop.at(start + time, [callers] { callers->request(route_address, route_port, budget_ms, 2); });
       }
     }
   }
