settings: numbers of the platform may have fractions and any positive size

Cause: the template passes the platform's numbers on as they stand, and read_times() read three of them (target-heartbeat, flow-lifetime-s, shutdown-grace-s) with a parser for whole numbers. The documented form of these numbers includes fractions. The same holds for the ranges: they were chosen for the daemon, but the platform chooses the numbers, so that a grace of 601 s or a link of 0.05 Mbit/s had the same effect. The numbers of recorded flows had the same parser.

A daemon that runs only logs the refusal, which is why the fault shows with the next start.

Change: one parser for all numbers: whole, with a fraction or with an exponent, without a sign, finite. Numbers that the platform chooses count as the nearest usable one when they are beyond the usable range; times keep milliseconds. The usable range is 1 ms to 365 days (sums of such times fit into a duration) and 1 kbit/s to 1 Tbit/s (0 kbit/s means unknown). The settings of recorded flows keep their ranges, which no platform sets, and accept fractions. The lines "starts" and "settings changed" show the numbers in effect.

Why it works: whatever positive number the template renders passes the check, and no conversion after it can overflow or give 0.

--- a/programs/coltsfootlockd/carried/carried_daemon.cpp
+++ b/programs/coltsfootlockd/carried/carried_daemon.cpp
@@ -11,7 +11,6 @@
 #include "coltsfootlock/transport/log.h"
 
 #include <algorithm>
-#include <cmath>
 #include <span>
 #include <string>
 #include <utility>
@@ -44,12 +43,6 @@
 /// Part of the grace period that is reserved for the exit of the process.
 constexpr milliseconds exit_margin{ 1000 };
 
-std::uint32_t
-link_kbps(const carried_settings& settings)
-{
-  return static_cast<std::uint32_t>(std::lround(settings.link_rate_mbps * 1000));
-}
-
 bool
 any_ready(std::span<const pollfd> waited)
 {
@@ -66,7 +59,7 @@
   , settings_(settings)
   , engine_(settings.steering)
   , packets_(std::move(socket), engine_)
-  , sources_(settings.steering.self, settings.steering.domain, link_kbps(settings))
+  , sources_(settings.steering.self, settings.steering.domain, settings.link_kbps())
   , observations_(engine_)
   , loads_(settings.steering.self, settings.steering.domain, engine_, sources_)
   , records_(settings.steering.domain,
@@ -102,7 +95,7 @@
   observations_.add_page(*peer_server_);
   loads_.add_page(*peer_server_);
   member_discovery_.emplace(
-    fleet_member{ settings_.steering.self, settings_.steering.domain, call_address, link_kbps(settings_) },
+    fleet_member{ settings_.steering.self, settings_.steering.domain, call_address, settings_.link_kbps() },
     settings_.seeds,
     sources_);
 }
@@ -302,7 +295,7 @@
     member_discovery_->set_seeds(changed->seeds);
   }
   settings_ = *changed;
-  write_log(log_level::info, "daemon", "settings changed");
+  write_log(log_level::info, "daemon", "settings changed " + settings_.figures());
 }
 
 void
--- a/programs/coltsfootlockd/carried/carried_mode.cpp
+++ b/programs/coltsfootlockd/carried/carried_mode.cpp
@@ -6,7 +6,6 @@
 
 #include "coltsfootlock/transport/log.h"
 
-#include <cmath>
 #include <iostream>
 #include <utility>
 
@@ -51,8 +50,8 @@
   write_log(log_level::info,
             "daemon",
             "starts vm=" + settings->steering.self + " domain=" + settings->steering.domain +
-              " packets=" + to_string(settings->packet_address) + " store=" + to_string(settings->platform) +
-              " link_kbps=" + std::to_string(std::lround(settings->link_rate_mbps * 1000)));
+              " packets=" + to_string(settings->packet_address) + " store=" + to_string(settings->platform) + " " +
+              settings->figures());
   daemon.run();
   stop_log();
   return 0;
--- a/programs/coltsfootlockd/carried/carried_settings.cpp
+++ b/programs/coltsfootlockd/carried/carried_settings.cpp
@@ -1,31 +1,54 @@
 #include "carried/carried_settings.h"
 
 #include <algorithm>
+#include <chrono>
+#include <cmath>
 
 namespace coltsfootlock {
 
 namespace {
 
+/// Longer times count as this one. Sums of several such times still fit into a `duration`.
+constexpr milliseconds max_time = std::chrono::days(365);
+
+/// The resolution of times; a time above 0 is never rounded to 0.
+constexpr milliseconds min_time{ 1 };
+
+/// 1 kbit/s, since members of the fleet state their rate in kbit/s and 0 means unknown.
+constexpr double min_link_rate_mbps = 0.001;
+constexpr double max_link_rate_mbps = 1e6;
+
 bool
 read_times(const value_map& values, carried_settings& result, error& why)
 {
-  std::uint64_t heartbeat = static_cast<std::uint64_t>(result.steering.target_heartbeat.count());
-  std::uint64_t lifetime = static_cast<std::uint64_t>(result.steering.flow_lifetime.count() / 1000);
-  std::uint64_t grace = static_cast<std::uint64_t>(result.shutdown_grace.count() / 1000);
-  if (!read_whole_number(values, "target-heartbeat", "ms", 10, 60000, heartbeat, why) ||
-      !read_whole_number(values, "flow-lifetime-s", "s", 1, 86400, lifetime, why) ||
-      !read_whole_number(values, "shutdown-grace-s", "s", 1, 600, grace, why)) {
+  steering_settings& steering = result.steering;
+  if (!read_clamped_time(
+        values, "target-heartbeat", unit_millisecond, min_time, max_time, steering.target_heartbeat, why) ||
+      !read_clamped_time(values, "flow-lifetime-s", unit_second, min_time, max_time, steering.flow_lifetime, why) ||
+      !read_clamped_time(
+        values, "shutdown-grace-s", unit_second, milliseconds(0), max_time, result.shutdown_grace, why)) {
     return false;
   }
-  result.steering.target_heartbeat = milliseconds(static_cast<milliseconds::rep>(heartbeat));
-  result.steering.flow_lifetime = seconds(static_cast<seconds::rep>(lifetime));
-  result.follower.max_record_gap = std::max(result.follower.max_record_gap, 2 * result.steering.target_heartbeat);
-  result.shutdown_grace = seconds(static_cast<seconds::rep>(grace));
+  result.follower.max_record_gap = std::max(result.follower.max_record_gap, 2 * steering.target_heartbeat);
   return true;
 }
 
 }
 
+std::uint32_t
+carried_settings::link_kbps() const
+{
+  return static_cast<std::uint32_t>(std::lround(link_rate_mbps * 1000));
+}
+
+std::string
+carried_settings::figures() const
+{
+  return "target_heartbeat_ms=" + std::to_string(steering.target_heartbeat.count()) +
+         " flow_lifetime_ms=" + std::to_string(steering.flow_lifetime.count()) +
+         " shutdown_grace_ms=" + std::to_string(shutdown_grace.count()) + " link_kbps=" + std::to_string(link_kbps());
+}
+
 std::optional<carried_settings>
 read_carried_settings(const value_map& values, error& why)
 {
@@ -39,7 +62,8 @@
       !read_optional_address(values, "metrics-address", result.metrics_address, why) ||
       !read_seeds(values, result.seeds, why) || !read_level(values, result.min_log_level, why) ||
       !read_times(values, result, why) ||
-      !read_number(values, "link-rate-mbps", "Mbit/s", 0.1, 1e6, result.link_rate_mbps, why)) {
+      !read_clamped_number(
+        values, "link-rate-mbps", "Mbit/s", min_link_rate_mbps, max_link_rate_mbps, result.link_rate_mbps, why)) {
     return std::nullopt;
   }
   if (result.metrics_address == result.ready_address) {
--- a/programs/coltsfootlockd/carried/carried_settings.h
+++ b/programs/coltsfootlockd/carried/carried_settings.h
@@ -6,7 +6,9 @@
 #include "coltsfootlock/coordination/steering/steering_settings.h"
 
 #include <compare>
+#include <cstdint>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace coltsfootlock {
@@ -26,6 +28,11 @@
   steering_settings steering;
   follower_settings follower;
 
+  std::uint32_t link_kbps() const;
+
+  /// The numbers in effect, after rounding, as the fields of a log line.
+  std::string figures() const;
+
   auto operator<=>(const carried_settings&) const = default;
 };
 
--- a/programs/coltsfootlockd/read_settings.cpp
+++ b/programs/coltsfootlockd/read_settings.cpp
@@ -3,6 +3,7 @@
 #include "number_setting.h"
 #include "setting_values.h"
 
+#include <cmath>
 #include <fstream>
 #include <iterator>
 
@@ -79,14 +80,17 @@
   return read_key(values, "fleet-key-next", result, why);
 }
 
+/// A fraction is rounded to the unit of the setting.
 bool
-read_number(const value_map& values, const number_setting& setting, timing& times, error& why)
+read_number_setting(const value_map& values, const number_setting& setting, timing& times, error& why)
 {
-  std::uint64_t value = setting.get(times);
-  if (!read_whole_number(values, setting.flag, setting.unit, setting.min_value, setting.max_value, value, why)) {
+  auto value = static_cast<double>(setting.get(times));
+  const auto min_value = static_cast<double>(setting.min_value);
+  const auto max_value = static_cast<double>(setting.max_value);
+  if (!read_number(values, setting.flag, setting.unit, min_value, max_value, value, why)) {
     return false;
   }
-  setting.set(times, value);
+  setting.set(times, static_cast<std::uint64_t>(std::llround(value)));
   return true;
 }
 
@@ -137,7 +141,7 @@
     return std::nullopt;
   }
   for (const number_setting& setting : number_settings()) {
-    if (!read_number(values, setting, result.times, why)) {
+    if (!read_number_setting(values, setting, result.times, why)) {
       return std::nullopt;
     }
   }
--- a/programs/coltsfootlockd/setting_values.cpp
+++ b/programs/coltsfootlockd/setting_values.cpp
@@ -1,8 +1,9 @@
 #include "setting_values.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
-#include <sstream>
+#include <cmath>
 #include <string_view>
 
 namespace coltsfootlock {
@@ -24,6 +25,30 @@
   return found->second;
 }
 
+/// Parses a finite number without a sign: 6, 6.5 or 65e-1.
+std::optional<double>
+parse_number(std::string_view text)
+{
+  if (text.empty() || text.front() < '0' || text.front() > '9') {
+    return std::nullopt; // from_chars() accepts a minus sign, "inf" and "nan" as well.
+  }
+  double value = 0;
+  const auto [end, status] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (status != std::errc() || end != text.data() + text.size()) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+/// The shortest decimal text without an exponent.
+std::string
+to_text(double value)
+{
+  std::array<char, 512> buffer{}; // The largest double has 309 digits.
+  const auto written = std::to_chars(buffer.data(), buffer.data() + buffer.size(), value, std::chars_format::fixed);
+  return { buffer.data(), written.ptr };
+}
+
 }
 
 error
@@ -116,55 +141,69 @@
 }
 
 bool
-read_whole_number(const value_map& values,
-                  const std::string& flag,
-                  const std::string& unit,
-                  std::uint64_t min_value,
-                  std::uint64_t max_value,
-                  std::uint64_t& result,
-                  error& why)
+read_number(const value_map& values,
+            const std::string& flag,
+            const std::string& unit,
+            double min_value,
+            double max_value,
+            double& result,
+            error& why)
 {
   const auto found = values.find(flag);
   if (found == values.end()) {
     return true;
   }
-  const std::string& text = found->second;
-  std::uint64_t value = 0;
-  const auto [end, status] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (status != std::errc() || end != text.data() + text.size() || value < min_value || value > max_value) {
-    why = invalid_value(flag,
-                        text,
-                        "give a whole number of " + unit + " from " + std::to_string(min_value) + " to " +
-                          std::to_string(max_value));
+  const auto value = parse_number(found->second);
+  if (!value || *value < min_value || *value > max_value) {
+    why = invalid_value(
+      flag, found->second, "give a number of " + unit + " from " + to_text(min_value) + " to " + to_text(max_value));
     return false;
   }
-  result = value;
+  result = *value;
   return true;
 }
 
 bool
-read_number(const value_map& values,
-            const std::string& flag,
-            const std::string& unit,
-            double min_value,
-            double max_value,
-            double& result,
-            error& why)
+read_clamped_number(const value_map& values,
+                    const std::string& flag,
+                    const std::string& unit,
+                    double min_value,
+                    double max_value,
+                    double& result,
+                    error& why)
 {
   const auto found = values.find(flag);
   if (found == values.end()) {
     return true;
   }
-  const std::string& text = found->second;
-  double value = 0;
-  const auto [end, status] = std::from_chars(text.data(), text.data() + text.size(), value, std::chars_format::fixed);
-  if (status != std::errc() || end != text.data() + text.size() || !(value >= min_value && value <= max_value)) {
-    std::ostringstream remedy;
-    remedy << "give a number of " << unit << " from " << min_value << " to " << max_value;
-    why = invalid_value(flag, text, remedy.str());
+  const auto value = parse_number(found->second);
+  const bool zero_allowed = min_value == 0;
+  if (!value || (*value == 0 && !zero_allowed)) {
+    why = invalid_value(
+      flag, found->second, "give a number of " + unit + (zero_allowed ? " that is not negative" : " above 0"));
+    return false;
+  }
+  result = std::clamp(*value, min_value, max_value);
+  return true;
+}
+
+bool
+read_clamped_time(const value_map& values,
+                  const std::string& flag,
+                  const time_unit& unit,
+                  milliseconds min_value,
+                  milliseconds max_value,
+                  milliseconds& result,
+                  error& why)
+{
+  const auto in_units = [&unit](milliseconds time) {
+    return static_cast<double>(time.count()) / static_cast<double>(unit.length.count());
+  };
+  double value = in_units(result);
+  if (!read_clamped_number(values, flag, unit.symbol, in_units(min_value), in_units(max_value), value, why)) {
     return false;
   }
-  result = value;
+  result = milliseconds(std::llround(value * static_cast<double>(unit.length.count())));
   return true;
 }
 
--- a/programs/coltsfootlockd/setting_values.h
+++ b/programs/coltsfootlockd/setting_values.h
@@ -2,9 +2,9 @@
 
 #include "coltsfootlock/state/endpoint.h"
 #include "coltsfootlock/state/error.h"
+#include "coltsfootlock/state/time.h"
 #include "coltsfootlock/transport/log_level.h"
 
-#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -33,18 +33,10 @@
 bool
 read_level(const value_map& values, log_level& result, error& why);
 
-/// Reads a whole number from `min_value` to `max_value`. Leaves `result`, which holds the default, unchanged if the
-/// value is not given.
-bool
-read_whole_number(const value_map& values,
-                  const std::string& flag,
-                  const std::string& unit,
-                  std::uint64_t min_value,
-                  std::uint64_t max_value,
-                  std::uint64_t& result,
-                  error& why);
+/// Numbers may be whole, have a fraction or an exponent; a sign is refused. Each function leaves `result`, which holds
+/// the default, unchanged if the value is not given.
 
-/// The same for a number with an optional fraction.
+/// Reads a number from `min_value` to `max_value`.
 bool
 read_number(const value_map& values,
             const std::string& flag,
@@ -54,4 +46,35 @@
             double& result,
             error& why);
 
+/// Reads a number that the platform chooses. One beyond the range that the daemon can use counts as the nearest number
+/// in the range, because a daemon that refuses it would never start. Refuses 0 unless `min_value` is 0.
+bool
+read_clamped_number(const value_map& values,
+                    const std::string& flag,
+                    const std::string& unit,
+                    double min_value,
+                    double max_value,
+                    double& result,
+                    error& why);
+
+/// The unit in which a time is given.
+struct time_unit
+{
+  const char* symbol;
+  milliseconds length;
+};
+
+inline constexpr time_unit unit_millisecond{ "ms", milliseconds(1) };
+inline constexpr time_unit unit_second{ "s", milliseconds(1000) };
+
+/// The same as read_clamped_number for a time, which is rounded to milliseconds.
+bool
+read_clamped_time(const value_map& values,
+                  const std::string& flag,
+                  const time_unit& unit,
+                  milliseconds min_value,
+                  milliseconds max_value,
+                  milliseconds& result,
+                  error& why);
+
 }
