carried daemon: a grace period shorter than the margin for the exit is used

What callers saw: with a grace period of 1 s a daemon exited at once after SIGTERM, without waiting until the platform takes it out of rotation, so that requests on their way to it were lost.

Cause: a second was taken from the grace period for the exit of the process, however short the period was. What remained was 0 or negative.

Change: the margin is at most half of the grace period. The wait of the event loop ends at the deadline, since its interval of 100 ms may be longer than the whole period. The decision moves to graceful_shutdown, which needs no process to be tested.

Test: graceful_shutdowns.

--- a/programs/coltsfootlockd/carried/carried_daemon.cpp
+++ b/programs/coltsfootlockd/carried/carried_daemon.cpp
@@ -35,14 +35,6 @@
 /// timeout of a caller (200 ms) plus the usual maximum time until the store's first response.
 constexpr milliseconds max_packet_wait{ 500 };
 
-/// After SIGTERM the daemon exits once this many readiness probes of the platform were refused, which takes it out of
-/// rotation, and no packet has arrived for `quiet_before_leaving`.
-constexpr int refusals_before_leaving = 2;
-constexpr milliseconds quiet_before_leaving{ 300 };
-
-/// Part of the grace period that is reserved for the exit of the process.
-constexpr milliseconds exit_margin{ 1000 };
-
 bool
 any_ready(std::span<const pollfd> waited)
 {
@@ -103,36 +95,24 @@
 page
 carried_daemon::ready_page()
 {
-  if (leaving_since_) {
-    ++refusals_while_leaving_;
-  }
+  shutdown_.on_refused_probe();
   return is_ready() ? page{ 200, "{}" } : page{ 503, "{}" };
 }
 
 const char*
 carried_daemon::unready_reason() const
 {
-  if (leaving_since_) {
+  if (shutdown_.in_progress()) {
     return "leaving";
   }
   return engine_.isolated() ? "isolated" : "no_records";
 }
 
-bool
-carried_daemon::may_leave(instant now) const
-{
-  if (!leaving_since_) {
-    return false;
-  }
-  const bool out_of_rotation = refusals_while_leaving_ >= refusals_before_leaving;
-  return (out_of_rotation && now - packets_.last_packet() > quiet_before_leaving) ||
-         now - *leaving_since_ > settings_.shutdown_grace - exit_margin;
-}
-
 int
 carried_daemon::wait_time(instant now) const
 {
-  const instant next = std::min(next_tick_, records_.next_wakeup());
+  const instant exit_deadline = shutdown_.deadline(settings_.shutdown_grace).value_or(next_tick_);
+  const instant next = std::min({ next_tick_, records_.next_wakeup(), exit_deadline });
   const auto left = std::chrono::ceil<milliseconds>(next - now).count();
   return static_cast<int>(std::clamp<milliseconds::rep>(left, 0, steering_timing::tick_interval.count()));
 }
@@ -301,8 +281,8 @@
 void
 carried_daemon::run_duties(instant now)
 {
-  if (process_signals::termination_requested() && !leaving_since_) {
-    leaving_since_ = now;
+  if (process_signals::termination_requested() && !shutdown_.in_progress()) {
+    shutdown_.begin(now);
     write_log(log_level::info, "daemon", "leaving flows=" + std::to_string(engine_.flows()));
   }
   const bool signalled = process_signals::take_reload_request();
@@ -339,7 +319,7 @@
   if (member_discovery_ && member_discovery_->has_other_seeds()) {
     sources_.expect_members(now_);
   }
-  while (!may_leave(now_)) {
+  while (!shutdown_.may_exit(packets_.last_packet(), settings_.shutdown_grace, now_)) {
     const poll_groups groups = collect_descriptors();
     wait();
     handle_events(groups);
--- a/programs/coltsfootlockd/carried/carried_daemon.h
+++ b/programs/coltsfootlockd/carried/carried_daemon.h
@@ -2,6 +2,7 @@
 
 #include "carried/carried_settings.h"
 #include "carried/exception_guard.h"
+#include "carried/graceful_shutdown.h"
 #include "carried/load_path.h"
 #include "carried/member_discovery.h"
 #include "carried/packet_path.h"
@@ -38,9 +39,8 @@
 
 private:
   page ready_page();
-  bool is_ready() const { return engine_.accepts_flows() && !engine_.isolated() && !leaving_since_; }
+  bool is_ready() const { return engine_.accepts_flows() && !engine_.isolated() && !shutdown_.in_progress(); }
   const char* unready_reason() const;
-  bool may_leave(instant now) const;
   /// Index of the first polled descriptor of each part; the packet socket comes first.
   struct poll_groups
   {
@@ -84,8 +84,7 @@
   instant next_tick_;
   instant next_log_;
   instant next_settings_check_;
-  std::optional<instant> leaving_since_;
-  int refusals_while_leaving_ = 0;
+  graceful_shutdown shutdown_;
   std::uint64_t logged_sent_bytes_ = 0;
   bool was_ready_ = false;
 };
