steering: margins hold for very short heartbeat intervals and flow lifetimes

What callers would see: with a target heartbeat of some milliseconds, the flows of a live target that lost only its record are reset 0.5 s later. With a flow lifetime below some seconds, callers of a target that is gone get no reset and wait until they give up.

Cause: two times were taken from settings without the margins that the decisions need. "Silent" was two heartbeats, although a report that the target is alive takes up to 1.5 s. Targets that are gone were kept for the flow lifetime alone, although the resets of their flows are decided later than that.

Change: silence is at least the time that a report takes (quiet_time), for judging a target and for reporting it. Targets that are gone are kept at least until their flows are decided or idle (gone_target_retention). Nothing changes for heartbeats of 750 ms and more with lifetimes of 18 s and more, as all deployments have.

--- a/include/coltsfootlock/coordination/steering/steering_engine.h
+++ b/include/coltsfootlock/coordination/steering/steering_engine.h
@@ -157,6 +157,8 @@
   std::optional<placement_condition> condition_of(target_state& target, instant now);
   void observe_packet(const carried_packet& packet, target_state& target, instant now);
   void suspect(target_state& target, const char* evidence, instant now);
+  milliseconds quiet_time() const;
+  milliseconds gone_target_retention() const;
   bool is_quiet(const target_state& target, instant now) const;
   bool is_gone(const target_state& target, instant now) const;
   bool was_open_before_removal(const carried_flow& flow) const;
--- a/include/coltsfootlock/coordination/steering/steering_timing.h
+++ b/include/coltsfootlock/coordination/steering/steering_timing.h
@@ -69,6 +69,9 @@
 /// together, and their checks of all targets at once overflow the targets' listen queues.
 inline constexpr milliseconds silent_check_grace{ 6000 };
 
+/// Maximum age of the newest answer of a live target that the daemons of the domain know from reports.
+inline constexpr milliseconds alive_report_lag = alive_report_interval + report_transfer_time;
+
 /// Interval between checks of a target that answers them.
 inline constexpr milliseconds check_interval{ 1000 };
 
--- a/libraries/coordination/steering/observation_decisions.cpp
+++ b/libraries/coordination/steering/observation_decisions.cpp
@@ -72,8 +72,7 @@
 {
   const bool taken_for_lost = target.lost_seen_at != instant{} && target.last_answer > target.lost_seen_at &&
                               now - target.lost_seen_at <= steering_timing::suspicion_duration;
-  const bool taken_for_gone =
-    target.phase != target_phase::present && now - target.last_answer <= 2 * settings_.target_heartbeat;
+  const bool taken_for_gone = target.phase != target_phase::present && now - target.last_answer <= quiet_time();
   if ((!taken_for_lost && !taken_for_gone) ||
       target.last_answer <= std::max(target.own_alive_seen_at, target.reported_alive) ||
       now - target.own_alive_report_at < steering_timing::alive_report_interval) {
--- a/libraries/coordination/steering/steering_engine.cpp
+++ b/libraries/coordination/steering/steering_engine.cpp
@@ -258,8 +258,7 @@
 {
   isolation_.tick(records_are_fresh(now), now);
   std::vector<reset_flow> resets;
-  // Targets are kept that long so that late packets of their flows can be attributed to them.
-  targets_.tick(settings_.flow_lifetime, confirmed_at_, outage_grace_end_, now);
+  targets_.tick(gone_target_retention(), confirmed_at_, outage_grace_end_, now);
   for (const std::string& domain : services_.tick(confirmed_at_, outage_grace_end_)) {
     report("domain", "in service domain=" + domain + " reason=\"the store lost its withdrawal\"");
   }
--- a/libraries/coordination/steering/target_loss_decisions.cpp
+++ b/libraries/coordination/steering/target_loss_decisions.cpp
@@ -30,15 +30,31 @@
   report_target(target, evidence, now);
 }
 
-/// True if no packet of this daemon, and no report of another one, showed within two heartbeats that the target is
-/// alive. A record expires only after a longer silence towards the platform, so recent packets identify a target that
-/// is alive but cut off from the platform. A report may be that much older than the newest answer that its daemon saw.
+/// How long a target has to be silent before it may be lost. Two heartbeats, but not less than a report of another
+/// daemon takes, however often the targets send heartbeats.
+milliseconds
+steering_engine::quiet_time() const
+{
+  return std::max(2 * settings_.target_heartbeat, steering_timing::alive_report_lag);
+}
+
+/// How long targets that are gone are kept, so that late packets of their flows can be attributed to them. However
+/// short the lifetime of flows is, their resets are decided first.
+milliseconds
+steering_engine::gone_target_retention() const
+{
+  return std::max(settings_.flow_lifetime, quiet_time() + settings_.flow_idle);
+}
+
+/// True if no packet of this daemon, and no report of another one, showed within `quiet_time` that the target is alive.
+/// A record expires only after a longer silence towards the platform, so recent packets identify a target that is alive
+/// but cut off from the platform. A report may be that much older than the newest answer that its daemon saw.
 bool
 steering_engine::is_quiet(const target_state& target, instant now) const
 {
-  constexpr milliseconds report_lag = steering_timing::alive_report_interval + steering_timing::report_transfer_time;
-  const instant reported = target.reported_alive == instant{} ? instant{} : target.reported_alive + report_lag;
-  return now - std::max({ target.last_progress, reported, observing_since_ }) > 2 * settings_.target_heartbeat;
+  const instant reported =
+    target.reported_alive == instant{} ? instant{} : target.reported_alive + steering_timing::alive_report_lag;
+  return now - std::max({ target.last_progress, reported, observing_since_ }) > quiet_time();
 }
 
 /// True if the records show now that the target is gone, and no packet shows the contrary. Without current records the
--- /dev/null
+++ b/libraries/coordination/steering/tests/test_extreme_settings.cpp
@@ -0,0 +1,62 @@
+#include "steering_fixture.h"
+
+#include "coltsfootlock/coordination/steering/steering_timing.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace coltsfootlock;
+using coltsfootlock::testing::steering_fixture;
+
+BOOST_FIXTURE_TEST_SUITE(extreme_settings, steering_fixture)
+
+// Guards against a very short heartbeat interval, within which no target shows that it is alive: the flows of a target
+// that lost only its record were reset.
+BOOST_AUTO_TEST_CASE(a_live_target_without_a_record_keeps_its_flows_at_any_heartbeat_interval)
+{
+  steering_settings settings = make_settings();
+  settings.target_heartbeat = milliseconds(1);
+  engine.set_settings(settings);
+  records_arrive = true;
+  publish(make_target(1, "a"));
+  establish(flow_of(1));
+  remove(1);
+  for (std::uint32_t position = 2; position < 12; ++position) {
+    BOOST_TEST(pass(steering_timing::alive_report_interval).empty());
+    BOOST_TEST(tag_of(send(flow_of(1), token_of_tag(1), position)) == 1U);
+  }
+}
+
+// Guards against a daemon with a very short heartbeat interval that sees a target answer and does not say so to those
+// that take it for gone.
+BOOST_AUTO_TEST_CASE(a_live_target_without_a_record_is_reported_at_any_heartbeat_interval)
+{
+  steering_settings settings = make_settings();
+  settings.target_heartbeat = milliseconds(1);
+  engine.set_settings(settings);
+  records_arrive = true;
+  publish(make_target(1, "a"));
+  establish(flow_of(1));
+  remove(1);
+  send(flow_of(1), token_of_tag(1), 1, 101, 10);
+  pass(steering_timing::tick_interval);
+  send(flow_of(1), token_of_tag(1), 2, 111, 10); // A request that acknowledges the previous answer.
+  BOOST_TEST(engine.take_observations().size() == 1U);
+}
+
+// Guards against a very short lifetime of flows, after which a target that is gone was forgotten before its callers got
+// their resets: they waited until they gave up.
+BOOST_AUTO_TEST_CASE(flows_of_a_target_that_is_gone_are_reset_at_any_lifetime)
+{
+  steering_settings settings = make_settings();
+  settings.flow_lifetime = milliseconds(1);
+  engine.set_settings(settings);
+  records_arrive = true;
+  publish(make_target(1, "a"));
+  establish(flow_of(1));
+  remove(1);
+  const auto resets = pass(2 * settings.target_heartbeat + steering_timing::report_transfer_time);
+  BOOST_TEST_REQUIRE(resets.size() == 1U);
+  BOOST_TEST((resets[0].reason == flow_end_reason::target_gone));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
