carried daemon: a refused reload of the settings is seen in the metrics

What operators saw: a running daemon that refuses its new settings goes on with the previous ones. Only a log line said so, once every 2 s, and the daemon did not start again with them.

Change: settings_reloader reads and checks the settings again, remembers the last refusal and counts refusals by reason. The metrics are coltsfootlock_settings_last_reload_successful and coltsfootlock_settings_reloads_refused_total. The log line comes once for a reason and on each SIGHUP.

The name and domain of the daemon are kept from the start. Before, the second change of the settings passed a new name to the steering engine, although it takes effect at the next start.

--- a/programs/coltsfootlockd/carried/carried_daemon.cpp
+++ b/programs/coltsfootlockd/carried/carried_daemon.cpp
@@ -3,7 +3,6 @@
 #include "carried/carried_metrics.h"
 #include "carried/peer_pages.h"
 #include "carried/process_signals.h"
-#include "command_line.h"
 
 #include "coltsfootlock/coordination/rendezvous.h"
 #include "coltsfootlock/coordination/steering/steering_timing.h"
@@ -14,6 +13,7 @@
 #include <span>
 #include <string>
 #include <utility>
+#include <variant>
 
 namespace coltsfootlock {
 
@@ -47,8 +47,8 @@
                                const carried_settings& settings,
                                udp_socket socket,
                                page_server ready_server)
-  : given_(std::move(given))
-  , settings_(settings)
+  : started_with_(settings)
+  , settings_(std::move(given), settings)
   , engine_(settings.steering)
   , packets_(std::move(socket), engine_)
   , sources_(settings.steering.self, settings.steering.domain, settings.link_kbps())
@@ -74,7 +74,8 @@
   metrics_server_->add_page("/metrics", [this](const page_request&, instant) {
     const std::uint64_t sent = peer_server_ ? peer_server_->sent_bytes() : 0;
     return page{ 200,
-                 carried_metrics(engine_, packets_, records_, loads_, sent, guard_.errors(), is_ready(), now_),
+                 carried_metrics(
+                   engine_, packets_, records_, loads_, settings_, sent, guard_.errors(), is_ready(), now_),
                  "text/plain; version=0.0.4" };
   });
 }
@@ -87,8 +88,8 @@
   observations_.add_page(*peer_server_);
   loads_.add_page(*peer_server_);
   member_discovery_.emplace(
-    fleet_member{ settings_.steering.self, settings_.steering.domain, call_address, settings_.link_kbps() },
-    settings_.seeds,
+    fleet_member{ started_with_.steering.self, started_with_.steering.domain, call_address, started_with_.link_kbps() },
+    started_with_.seeds,
     sources_);
 }
 
@@ -111,7 +112,7 @@
 int
 carried_daemon::wait_time(instant now) const
 {
-  const instant exit_deadline = shutdown_.deadline(settings_.shutdown_grace).value_or(next_tick_);
+  const instant exit_deadline = shutdown_.deadline(settings_.current().shutdown_grace).value_or(next_tick_);
   const instant next = std::min({ next_tick_, records_.next_wakeup(), exit_deadline });
   const auto left = std::chrono::ceil<milliseconds>(next - now).count();
   return static_cast<int>(std::clamp<milliseconds::rep>(left, 0, steering_timing::tick_interval.count()));
@@ -248,34 +249,35 @@
 void
 carried_daemon::reload(bool signalled)
 {
-  error why;
-  const auto values = effective_values(given_, why);
-  const auto changed = values ? read_carried_settings(*values, why) : std::nullopt;
-  if (!changed) {
-    write_log(log_level::error, "daemon", "settings refused, the previous ones remain in effect: " + why.message);
-    return;
-  }
-  if (*changed == settings_) {
-    if (signalled) {
-      write_log(log_level::info, "daemon", "settings read again, nothing changed");
+  const reload_outcome outcome = settings_.reload();
+  if (const auto* changed = std::get_if<settings_changed>(&outcome)) {
+    apply(*changed);
+  } else if (const auto* refused = std::get_if<settings_refused>(&outcome)) {
+    if (signalled || !refused->repeated) {
+      write_log(
+        log_level::error, "daemon", "settings refused, the previous ones remain in effect: " + refused->why.message);
     }
-    return;
+  } else if (signalled) {
+    write_log(log_level::info, "daemon", "settings read again, nothing changed");
   }
-  if (changed->packet_address != settings_.packet_address || changed->ready_address != settings_.ready_address ||
-      changed->steering.self != settings_.steering.self || changed->steering.domain != settings_.steering.domain) {
+}
+
+void
+carried_daemon::apply(const settings_changed& changed)
+{
+  if (changed.needs_restart) {
     write_log(
       log_level::warning, "daemon", "changes of the VM name, domain and addresses take effect at the next start");
   }
-  steering_settings steering = changed->steering;
-  steering.self = settings_.steering.self;
-  steering.domain = settings_.steering.domain;
+  steering_settings steering = changed.settings.steering;
+  steering.self = started_with_.steering.self;
+  steering.domain = started_with_.steering.domain;
   engine_.set_settings(steering);
-  records_.set_store(changed->platform);
+  records_.set_store(changed.settings.platform);
   if (member_discovery_) {
-    member_discovery_->set_seeds(changed->seeds);
+    member_discovery_->set_seeds(changed.settings.seeds);
   }
-  settings_ = *changed;
-  write_log(log_level::info, "daemon", "settings changed " + settings_.figures());
+  write_log(log_level::info, "daemon", "settings changed " + changed.settings.figures());
 }
 
 void
@@ -319,7 +321,7 @@
   if (member_discovery_ && member_discovery_->has_other_seeds()) {
     sources_.expect_members(now_);
   }
-  while (!shutdown_.may_exit(packets_.last_packet(), settings_.shutdown_grace, now_)) {
+  while (!shutdown_.may_exit(packets_.last_packet(), settings_.current().shutdown_grace, now_)) {
     const poll_groups groups = collect_descriptors();
     wait();
     handle_events(groups);
--- a/programs/coltsfootlockd/carried/carried_daemon.h
+++ b/programs/coltsfootlockd/carried/carried_daemon.h
@@ -7,6 +7,7 @@
 #include "carried/member_discovery.h"
 #include "carried/packet_path.h"
 #include "carried/record_path.h"
+#include "carried/settings_reloader.h"
 #include "carried/target_checks.h"
 
 #include "coltsfootlock/coordination/steering/steering_engine.h"
@@ -63,9 +64,10 @@
   void log_steering_events();
   void log_sent_records();
   void reload(bool signalled);
+  void apply(const settings_changed& changed);
 
-  const value_map given_;
-  carried_settings settings_;
+  const carried_settings started_with_;
+  settings_reloader settings_;
   steering_engine engine_;
   packet_path packets_;
   source_choice sources_;
--- a/programs/coltsfootlockd/carried/carried_metrics.cpp
+++ b/programs/coltsfootlockd/carried/carried_metrics.cpp
@@ -6,6 +6,9 @@
 #include "coltsfootlock/transport/log.h"
 
 #include <algorithm>
+#include <iterator>
+#include <map>
+#include <utility>
 
 namespace coltsfootlock {
 
@@ -20,6 +23,13 @@
   }
 }
 
+void
+add_count(const std::map<error_kind, std::uint64_t>& counts, error_kind reason, metric_builder& metrics)
+{
+  const auto count = counts.find(reason);
+  metrics.add(count == counts.end() ? 0 : static_cast<double>(count->second), { { "reason", to_string(reason) } });
+}
+
 void
 add_engine(const steering_engine& engine, metric_builder& metrics)
 {
@@ -103,9 +113,7 @@
   metrics.begin_counter("store_era_headers_unusable_total",
                         "Headers Store-Era of the store that are not a number, by reason.");
   for (const error_kind reason : { error_kind::syntax, error_kind::out_of_range }) {
-    const auto count = counters.unusable_eras.find(reason);
-    metrics.add(count == counters.unusable_eras.end() ? 0 : static_cast<double>(count->second),
-                { { "reason", to_string(reason) } });
+    add_count(counters.unusable_eras, reason, metrics);
   }
   metrics.gauge("store_revision", "Revision of the records.", static_cast<double>(records.cache().position().revision));
 }
@@ -146,11 +154,33 @@
 
 }
 
+std::vector<prometheus::MetricFamily>
+settings_metric_families(const settings_reloader& settings)
+{
+  metric_builder metrics;
+  metrics.gauge("settings_last_reload_successful",
+                "0 while the settings file has values that were refused, so that the previous ones remain in effect.",
+                settings.last_successful() ? 1 : 0);
+  metrics.begin_counter("settings_reloads_refused_total",
+                        "Reloads of the settings that were refused, by reason; the file is read every 2 s.");
+  for (const error_kind reason : { error_kind::syntax,
+                                   error_kind::missing_field,
+                                   error_kind::out_of_range,
+                                   error_kind::unknown_name,
+                                   error_kind::duplicate_name,
+                                   error_kind::conflict,
+                                   error_kind::unavailable }) {
+    add_count(settings.refusals(), reason, metrics);
+  }
+  return metrics.take();
+}
+
 std::vector<prometheus::MetricFamily>
 carried_metric_families(const steering_engine& engine,
                         const packet_path& packets,
                         const record_path& records,
                         const load_path& loads,
+                        const settings_reloader& settings,
                         std::uint64_t sent_record_bytes,
                         std::uint64_t unexpected_errors,
                         bool ready,
@@ -174,6 +204,8 @@
   metrics.counter(
     "log_lines_dropped_total", "Log lines lost because too many waited.", static_cast<double>(dropped_log_lines()));
   auto families = metrics.take();
+  auto settings_families = settings_metric_families(settings);
+  std::move(settings_families.begin(), settings_families.end(), std::back_inserter(families));
   families.push_back(
     histogram_family("store_list_seconds", "Time of a list call to the platform's store.", records.list_seconds()));
   return families;
@@ -184,13 +216,14 @@
                 const packet_path& packets,
                 const record_path& records,
                 const load_path& loads,
+                const settings_reloader& settings,
                 std::uint64_t sent_record_bytes,
                 std::uint64_t unexpected_errors,
                 bool ready,
                 instant now)
 {
-  return metrics_text(
-    carried_metric_families(engine, packets, records, loads, sent_record_bytes, unexpected_errors, ready, now));
+  return metrics_text(carried_metric_families(
+    engine, packets, records, loads, settings, sent_record_bytes, unexpected_errors, ready, now));
 }
 
 }
--- a/programs/coltsfootlockd/tests/test_documentation.cpp
+++ b/programs/coltsfootlockd/tests/test_documentation.cpp
@@ -141,8 +141,10 @@
   target.vm.target_group = "group";
   engine.on_record({ 1, target_published{ target } }, {}, instant(seconds(1)));
   engine.set_target_loads({ { "target-1", 1, 1, milliseconds(1) } }, instant(seconds(1)));
+  const settings_reloader settings({}, {});
   std::set<row> expected;
-  for (const auto& family : carried_metric_families(engine, packets, records, loads, 0, 0, true, instant(seconds(1)))) {
+  for (const auto& family :
+       carried_metric_families(engine, packets, records, loads, settings, 0, 0, true, instant(seconds(1)))) {
     const std::string type = family.type == prometheus::MetricType::Counter     ? "counter"
                              : family.type == prometheus::MetricType::Histogram ? "histogram"
                                                                                 : "gauge";
