records: a new heartbeat interval of the targets reaches the record follower

What callers would see: a daemon whose settings change to a longer heartbeat interval while it runs takes gaps of less than two heartbeats for outages of the store, and keeps flows of lost targets for 2.5 s longer, until it is started again.

Cause: max_record_gap is derived from the heartbeat interval and was computed again on a reload, but only the steering engine got new settings. The follower kept those of the start.

Change: record_path passes new settings on to its follower.

Test: a_longer_maximum_gap_takes_effect_while_the_daemon_runs, red with set_settings() made empty (trial). The call in carried_daemon::apply has no test of its own.

--- a/include/coltsfootlock/coordination/steering/record_follower.h
+++ b/include/coltsfootlock/coordination/steering/record_follower.h
@@ -108,6 +108,9 @@
   /// `seed` randomizes the retry delays so that daemons do not retry at the same time.
   record_follower(const follower_settings& settings, std::uint32_t seed);
 
+  /// Settings that can change while the daemon runs.
+  void set_settings(const follower_settings& settings) { settings_ = settings; }
+
   struct planned_call
   {
     record_call call;
--- a/libraries/coordination/steering/tests/test_record_follower.cpp
+++ b/libraries/coordination/steering/tests/test_record_follower.cpp
@@ -201,6 +201,23 @@
   BOOST_TEST((follower.outage_grace_end() > now));
 }
 
+// Guards against a running daemon whose targets get a longer heartbeat interval, and that goes on to take gaps of less
+// than two heartbeats for outages.
+BOOST_AUTO_TEST_CASE(a_longer_maximum_gap_takes_effect_while_the_daemon_runs)
+{
+  list(50);
+  settings.max_record_gap = milliseconds(4000);
+  follower.set_settings(settings);
+  now += milliseconds(3900);
+  call();
+  follower.on_response(record_events{ {}, 60, {} }, now);
+  BOOST_TEST((follower.outage_grace_end() <= now));
+  now += milliseconds(4100);
+  call();
+  follower.on_response(record_events{ {}, 70, {} }, now);
+  BOOST_TEST((follower.outage_grace_end() > now));
+}
+
 // Load pattern: hundreds of daemons start together before a store whose current pages are expensive. Old pages are of
 // different ages, so that the changes since the oldest of them are needed, and they are needed at once.
 BOOST_AUTO_TEST_CASE(a_first_list_of_old_pages_is_brought_up_to_date_without_a_wait)
--- a/programs/coltsfootlockd/carried/carried_daemon.cpp
+++ b/programs/coltsfootlockd/carried/carried_daemon.cpp
@@ -273,6 +273,7 @@
   steering.self = started_with_.steering.self;
   steering.domain = started_with_.steering.domain;
   engine_.set_settings(steering);
+  records_.set_settings(changed.settings.follower);
   records_.set_store(changed.settings.platform);
   if (member_discovery_) {
     member_discovery_->set_seeds(changed.settings.seeds);
--- a/programs/coltsfootlockd/carried/record_path.cpp
+++ b/programs/coltsfootlockd/carried/record_path.cpp
@@ -53,6 +53,13 @@
 {
 }
 
+void
+record_path::set_settings(const follower_settings& settings)
+{
+  settings_ = settings;
+  follower_.set_settings(settings);
+}
+
 void
 record_path::set_store(const endpoint& store)
 {
--- a/programs/coltsfootlockd/carried/record_path.h
+++ b/programs/coltsfootlockd/carried/record_path.h
@@ -64,6 +64,9 @@
   /// Sets the address of the store for the next call. A call to the previous address that is in progress fails.
   void set_store(const endpoint& store);
 
+  /// Settings that can change while the daemon runs.
+  void set_settings(const follower_settings& settings);
+
   /// Age of the records, for daemons that follow this one; empty before they have been received.
   std::optional<response_age> age(instant now) const;
 
@@ -119,7 +122,7 @@
   void apply(const record_follower::progress& progress, instant now);
 
   const std::string domain_;
-  const follower_settings settings_;
+  follower_settings settings_;
   endpoint store_;
   http_exchange store_exchange_;
   http_exchange peer_exchange_;
