carried daemon: a reload names all settings that need a restart

What operators saw: a changed link rate, log level, call address or metrics address was logged as "settings changed", although it takes effect at the next start only. The line that says so knew the other addresses, the name and the domain.

Cause: the list of such settings was not extended with the settings.

Test: settings_reloads/changes_that_need_a_restart_are_known; all four checks fail with the list of before.

--- a/programs/coltsfootlockd/carried/carried_daemon.cpp
+++ b/programs/coltsfootlockd/carried/carried_daemon.cpp
@@ -266,8 +266,9 @@
 carried_daemon::apply(const settings_changed& changed)
 {
   if (changed.needs_restart) {
-    write_log(
-      log_level::warning, "daemon", "changes of the VM name, domain and addresses take effect at the next start");
+    write_log(log_level::warning,
+              "daemon",
+              "changes of the VM name, domain, addresses, link rate and log level take effect at the next start");
   }
   steering_settings steering = changed.settings.steering;
   steering.self = started_with_.steering.self;
--- a/programs/coltsfootlockd/carried/settings_reloader.cpp
+++ b/programs/coltsfootlockd/carried/settings_reloader.cpp
@@ -13,7 +13,9 @@
 needs_restart(const carried_settings& left, const carried_settings& right)
 {
   return left.packet_address != right.packet_address || left.ready_address != right.ready_address ||
-         left.steering.self != right.steering.self || left.steering.domain != right.steering.domain;
+         left.metrics_address != right.metrics_address || left.call_address != right.call_address ||
+         left.steering.self != right.steering.self || left.steering.domain != right.steering.domain ||
+         left.link_kbps() != right.link_kbps() || left.min_log_level != right.min_log_level;
 }
 
 }
--- a/programs/coltsfootlockd/tests/test_settings_reloader.cpp
+++ b/programs/coltsfootlockd/tests/test_settings_reloader.cpp
@@ -75,6 +75,22 @@
   BOOST_TEST(reloader.last_successful());
 }
 
+// Guards against a change that is accepted without effect and without a word.
+BOOST_AUTO_TEST_CASE(changes_that_need_a_restart_are_known)
+{
+  for (const char* line : { "call-address = 127.0.0.1:4002",
+                            "metrics-address = 127.0.0.1:4003",
+                            "link-rate-mbps = 0.5",
+                            "log-level = warning" }) {
+    write(valid);
+    settings_reloader reloader = start();
+    write(valid + line + "\n");
+    const reload_outcome outcome = reloader.reload();
+    BOOST_TEST_REQUIRE(std::holds_alternative<settings_changed>(outcome), line);
+    BOOST_TEST(std::get<settings_changed>(outcome).needs_restart, line);
+  }
+}
+
 // Guards against a refusal that an operator cannot see in the metrics.
 BOOST_AUTO_TEST_CASE(a_refusal_is_seen_in_the_metrics)
 {
