settings: an empty variable counts as not given

What operators would see: the platform fills a variable of a daemon in with a value that it does not have, the text is empty, and the daemon ends with exit code 2. In the settings file such a line is skipped.

Test: an_empty_variable_counts_as_not_given, red on the old code.

--- a/programs/coltsfootlockd/command_line.cpp
+++ b/programs/coltsfootlockd/command_line.cpp
@@ -17,7 +17,7 @@
 {
   for (const setting_definition& definition : definitions) {
     const auto found = environment.find(definition.variable());
-    if (found != environment.end()) {
+    if (found != environment.end() && !found->second.empty()) {
       values[definition.flag] = found->second;
     }
   }
--- a/programs/coltsfootlockd/tests/test_numeric_settings.cpp
+++ b/programs/coltsfootlockd/tests/test_numeric_settings.cpp
@@ -121,6 +121,19 @@
   }
 }
 
+// Guards against a daemon that does not start because the platform fills a variable in with a value that it does not
+// have. An empty value in the settings file counts as not given as well.
+BOOST_AUTO_TEST_CASE(an_empty_variable_counts_as_not_given)
+{
+  error why;
+  const auto command =
+    command_line::parse({ "coltsfootlockd" },
+                        { { "COLTSFOOTLOCK_SHUTDOWN_GRACE_S", "" }, { "COLTSFOOTLOCK_TARGET_HEARTBEAT", "770.5" } },
+                        why);
+  BOOST_REQUIRE_MESSAGE(command.has_value(), why.message);
+  BOOST_TEST((command->values == value_map{ { "target-heartbeat", "770.5" } }));
+}
+
 // Guards against a fraction that is accepted and then cut off.
 BOOST_AUTO_TEST_CASE(fractions_take_effect)
 {
