--- a/libraries/coordination/steering/tests/test_extreme_settings.cpp
+++ b/libraries/coordination/steering/tests/test_extreme_settings.cpp
@@ -59,4 +59,23 @@
   BOOST_TEST((resets[0].reason == flow_end_reason::target_gone));
 }
 
+// Guards against sums of the longest times that overflow: resets of the flows of live targets, or none at all.
+BOOST_AUTO_TEST_CASE(the_longest_times_do_not_overflow)
+{
+  steering_settings settings = make_settings();
+  settings.target_heartbeat = std::chrono::days(365);
+  settings.flow_lifetime = std::chrono::days(365);
+  engine.set_settings(settings);
+  records_arrive = true;
+  publish(make_target(1, "a"));
+  establish(flow_of(1));
+  remove(1);
+  BOOST_TEST(pass(seconds(10)).empty());
+  BOOST_TEST(tag_of(send(flow_of(1), token_of_tag(1), 2)) == 1U);
+  target_record restarted = make_target(1, "a");
+  restarted.vm.incarnation = 2;
+  publish(restarted);
+  BOOST_TEST(pass(seconds(1)).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/programs/coltsfootlockd/setting_values.cpp
+++ b/programs/coltsfootlockd/setting_values.cpp
@@ -179,8 +179,10 @@
   const auto value = parse_number(found->second);
   const bool zero_allowed = min_value == 0;
   if (!value || (*value == 0 && !zero_allowed)) {
-    why = invalid_value(
-      flag, found->second, "give a number of " + unit + (zero_allowed ? " that is not negative" : " above 0"));
+    why = invalid_value(flag,
+                        found->second,
+                        "give a number of " + unit + (zero_allowed ? ", 0 or more" : " above 0") +
+                          ", whole or with a fraction");
     return false;
   }
   result = std::clamp(*value, min_value, max_value);
--- a/programs/coltsfootlockd/tests/test_graceful_shutdown.cpp
+++ b/programs/coltsfootlockd/tests/test_graceful_shutdown.cpp
@@ -47,6 +47,15 @@
   BOOST_TEST(time_to_exit(milliseconds(6500)).count() == 5500);
 }
 
+// Guards against an overflow that ends the process at once.
+BOOST_AUTO_TEST_CASE(the_longest_grace_period_does_not_overflow)
+{
+  graceful_shutdown shutdown;
+  shutdown.begin(started);
+  BOOST_TEST(!shutdown.may_exit(started, std::chrono::days(365), started + std::chrono::days(364)));
+  BOOST_TEST(shutdown.may_exit(started, std::chrono::days(365), started + std::chrono::days(365)));
+}
+
 // Guards against a daemon that cuts requests because it exits before it is out of rotation.
 BOOST_AUTO_TEST_CASE(a_daemon_out_of_rotation_exits_once_no_packets_arrive)
 {
