--- a/include/coltsfootlock/coordination/steering/steering_settings.h
+++ b/include/coltsfootlock/coordination/steering/steering_settings.h
@@ -24,8 +24,8 @@
   /// Flows are removed after this time without packets, unless the catalogue sets a time.
   milliseconds flow_idle{ 15000 };
 
-  /// Age beyond which flows need not be kept, as configured on the platform. Targets that are gone are kept at least
-  /// this long.
+  /// Age beyond which flows need not be kept, as configured on the platform. Targets that are gone are kept this long,
+  /// within the limits of steering_engine::gone_target_retention().
   milliseconds flow_lifetime{ 60000 };
 
   /// Capacity of the flow table; about 150 bytes per flow.
--- a/include/coltsfootlock/coordination/steering/steering_timing.h
+++ b/include/coltsfootlock/coordination/steering/steering_timing.h
@@ -72,6 +72,9 @@
 /// Maximum age of the newest answer of a live target that the daemons of the domain know from reports.
 inline constexpr milliseconds alive_report_lag = alive_report_interval + report_transfer_time;
 
+/// Targets that are gone are kept no longer, whatever the lifetime of flows: each replaced target takes memory.
+inline constexpr milliseconds max_gone_target_retention = std::chrono::hours(24);
+
 /// Interval between checks of a target that answers them.
 inline constexpr milliseconds check_interval{ 1000 };
 
--- a/libraries/coordination/steering/target_loss_decisions.cpp
+++ b/libraries/coordination/steering/target_loss_decisions.cpp
@@ -43,7 +43,8 @@
 milliseconds
 steering_engine::gone_target_retention() const
 {
-  return std::max(settings_.flow_lifetime, quiet_time() + settings_.flow_idle);
+  return std::min(std::max(settings_.flow_lifetime, quiet_time() + settings_.flow_idle),
+                  steering_timing::max_gone_target_retention);
 }
 
 /// True if no packet of this daemon, and no report of another one, showed within `quiet_time` that the target is alive.
--- a/libraries/coordination/steering/tests/test_extreme_settings.cpp
+++ b/libraries/coordination/steering/tests/test_extreme_settings.cpp
@@ -78,4 +78,21 @@
   BOOST_TEST(pass(seconds(1)).empty());
 }
 
+// Guards against memory that grows with each replaced target until the process is killed.
+BOOST_AUTO_TEST_CASE(targets_that_are_gone_are_forgotten_at_any_lifetime)
+{
+  steering_settings settings = make_settings();
+  settings.target_heartbeat = std::chrono::days(365);
+  settings.flow_lifetime = std::chrono::days(365);
+  engine.set_settings(settings);
+  publish(make_target(1, "a"));
+  remove(1);
+  now += steering_timing::max_gone_target_retention;
+  engine.tick(now);
+  BOOST_TEST(engine.targets() == 1U);
+  now += steering_timing::tick_interval;
+  engine.tick(now);
+  BOOST_TEST(engine.targets() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
