--- a/libraries/coordination/steering/tests/test_extreme_settings.cpp
+++ b/libraries/coordination/steering/tests/test_extreme_settings.cpp
@@ -7,19 +7,35 @@
 using namespace coltsfootlock;
 using coltsfootlock::testing::steering_fixture;
 
-BOOST_FIXTURE_TEST_SUITE(extreme_settings, steering_fixture)
+namespace {
+
+constexpr milliseconds longest_time = std::chrono::days(365);
+
+/// A daemon that receives records all the time, with a flow to a target whose record is removed.
+struct extreme_fixture : steering_fixture
+{
+  steering_settings settings = make_settings();
+
+  void remove_record_of_target_with_flow()
+  {
+    engine.set_settings(settings);
+    records_arrive = true;
+    publish(make_target(1, "a"));
+    establish(flow_of(1));
+    remove(1);
+  }
+};
+
+}
+
+BOOST_FIXTURE_TEST_SUITE(extreme_settings, extreme_fixture)
 
 // Guards against a very short heartbeat interval, within which no target shows that it is alive: the flows of a target
 // that lost only its record were reset.
 BOOST_AUTO_TEST_CASE(a_live_target_without_a_record_keeps_its_flows_at_any_heartbeat_interval)
 {
-  steering_settings settings = make_settings();
   settings.target_heartbeat = milliseconds(1);
-  engine.set_settings(settings);
-  records_arrive = true;
-  publish(make_target(1, "a"));
-  establish(flow_of(1));
-  remove(1);
+  remove_record_of_target_with_flow();
   for (std::uint32_t position = 2; position < 12; ++position) {
     BOOST_TEST(pass(steering_timing::alive_report_interval).empty());
     BOOST_TEST(tag_of(send(flow_of(1), token_of_tag(1), position)) == 1U);
@@ -30,13 +46,8 @@
 // that take it for gone.
 BOOST_AUTO_TEST_CASE(a_live_target_without_a_record_is_reported_at_any_heartbeat_interval)
 {
-  steering_settings settings = make_settings();
   settings.target_heartbeat = milliseconds(1);
-  engine.set_settings(settings);
-  records_arrive = true;
-  publish(make_target(1, "a"));
-  establish(flow_of(1));
-  remove(1);
+  remove_record_of_target_with_flow();
   send(flow_of(1), token_of_tag(1), 1, 101, 10);
   pass(steering_timing::tick_interval);
   send(flow_of(1), token_of_tag(1), 2, 111, 10); // A request that acknowledges the previous answer.
@@ -47,13 +58,8 @@
 // their resets: they waited until they gave up.
 BOOST_AUTO_TEST_CASE(flows_of_a_target_that_is_gone_are_reset_at_any_lifetime)
 {
-  steering_settings settings = make_settings();
   settings.flow_lifetime = milliseconds(1);
-  engine.set_settings(settings);
-  records_arrive = true;
-  publish(make_target(1, "a"));
-  establish(flow_of(1));
-  remove(1);
+  remove_record_of_target_with_flow();
   const auto resets = pass(2 * settings.target_heartbeat + steering_timing::report_transfer_time);
   BOOST_TEST_REQUIRE(resets.size() == 1U);
   BOOST_TEST((resets[0].reason == flow_end_reason::target_gone));
@@ -62,14 +68,9 @@
 // Guards against sums of the longest times that overflow: resets of the flows of live targets, or none at all.
 BOOST_AUTO_TEST_CASE(the_longest_times_do_not_overflow)
 {
-  steering_settings settings = make_settings();
-  settings.target_heartbeat = std::chrono::days(365);
-  settings.flow_lifetime = std::chrono::days(365);
-  engine.set_settings(settings);
-  records_arrive = true;
-  publish(make_target(1, "a"));
-  establish(flow_of(1));
-  remove(1);
+  settings.target_heartbeat = longest_time;
+  settings.flow_lifetime = longest_time;
+  remove_record_of_target_with_flow();
   BOOST_TEST(pass(seconds(10)).empty());
   BOOST_TEST(tag_of(send(flow_of(1), token_of_tag(1), 2)) == 1U);
   target_record restarted = make_target(1, "a");
@@ -81,12 +82,9 @@
 // Guards against memory that grows with each replaced target until the process is killed.
 BOOST_AUTO_TEST_CASE(targets_that_are_gone_are_forgotten_at_any_lifetime)
 {
-  steering_settings settings = make_settings();
-  settings.target_heartbeat = std::chrono::days(365);
-  settings.flow_lifetime = std::chrono::days(365);
-  engine.set_settings(settings);
-  publish(make_target(1, "a"));
-  remove(1);
+  settings.target_heartbeat = longest_time;
+  settings.flow_lifetime = longest_time;
+  remove_record_of_target_with_flow();
   now += steering_timing::max_gone_target_retention;
   engine.tick(now);
   BOOST_TEST(engine.targets() == 1U);
