--- a/programs/coltsfootlockd/carried/carried_daemon.cpp
+++ b/programs/coltsfootlockd/carried/carried_daemon.cpp
@@ -279,7 +279,7 @@
   if (member_discovery_) {
     member_discovery_->set_seeds(changed.settings.seeds);
   }
-  write_log(log_level::info, "daemon", "settings changed " + changed.settings.figures());
+  write_log(log_level::info, "daemon", "settings changed " + changed.settings.log_fields());
 }
 
 void
--- a/programs/coltsfootlockd/carried/carried_mode.cpp
+++ b/programs/coltsfootlockd/carried/carried_mode.cpp
@@ -51,7 +51,7 @@
             "daemon",
             "starts vm=" + settings->steering.self + " domain=" + settings->steering.domain +
               " packets=" + to_string(settings->packet_address) + " store=" + to_string(settings->platform) + " " +
-              settings->figures());
+              settings->log_fields());
   daemon.run();
   stop_log();
   return 0;
--- a/programs/coltsfootlockd/carried/carried_settings.cpp
+++ b/programs/coltsfootlockd/carried/carried_settings.cpp
@@ -42,7 +42,7 @@
 }
 
 std::string
-carried_settings::figures() const
+carried_settings::log_fields() const
 {
   return "target_heartbeat_ms=" + std::to_string(steering.target_heartbeat.count()) +
          " flow_lifetime_ms=" + std::to_string(steering.flow_lifetime.count()) +
--- a/programs/coltsfootlockd/carried/carried_settings.h
+++ b/programs/coltsfootlockd/carried/carried_settings.h
@@ -31,7 +31,7 @@
   std::uint32_t link_kbps() const;
 
   /// The numbers in effect, after rounding, as the fields of a log line.
-  std::string figures() const;
+  std::string log_fields() const;
 
   auto operator<=>(const carried_settings&) const = default;
 };
--- a/programs/coltsfootlockd/setting_values.h
+++ b/programs/coltsfootlockd/setting_values.h
@@ -33,10 +33,8 @@
 bool
 read_level(const value_map& values, log_level& result, error& why);
 
-/// Numbers may be whole, have a fraction or an exponent; a sign is refused. Each function leaves `result`, which holds
-/// the default, unchanged if the value is not given.
-
-/// Reads a number from `min_value` to `max_value`.
+/// Reads a number from `min_value` to `max_value`, which may be whole, have a fraction or an exponent, but no sign.
+/// Leaves `result`, which holds the default, unchanged if the value is not given.
 bool
 read_number(const value_map& values,
             const std::string& flag,
@@ -46,8 +44,8 @@
             double& result,
             error& why);
 
-/// Reads a number that the platform chooses. One beyond the range that the daemon can use counts as the nearest number
-/// in the range, because a daemon that refuses it would never start. Refuses 0 unless `min_value` is 0.
+/// The same for a number that the platform chooses. One beyond the range that the daemon can use counts as the nearest
+/// number in the range, because a daemon that refuses it would never start. Refuses 0 unless `min_value` is 0.
 bool
 read_clamped_number(const value_map& values,
                     const std::string& flag,
@@ -67,7 +65,7 @@
 inline constexpr time_unit unit_millisecond{ "ms", milliseconds(1) };
 inline constexpr time_unit unit_second{ "s", milliseconds(1000) };
 
-/// The same as read_clamped_number for a time, which is rounded to milliseconds.
+/// The same for a time, which is rounded to milliseconds.
 bool
 read_clamped_time(const value_map& values,
                   const std::string& flag,
--- a/programs/coltsfootlockd/tests/test_numeric_settings.cpp
+++ b/programs/coltsfootlockd/tests/test_numeric_settings.cpp
@@ -149,7 +149,8 @@
   BOOST_TEST(settings->steering.target_heartbeat.count() == 771);
   BOOST_TEST(settings->steering.flow_lifetime.count() == 250);
   BOOST_TEST(settings->shutdown_grace.count() == 6500);
-  BOOST_TEST(settings->figures() == "target_heartbeat_ms=771 flow_lifetime_ms=250 shutdown_grace_ms=6500 link_kbps=2");
+  BOOST_TEST(settings->log_fields() ==
+             "target_heartbeat_ms=771 flow_lifetime_ms=250 shutdown_grace_ms=6500 link_kbps=2");
 }
 
 // Guards against an overflow in the conversion of a very large number, and against a time or rate that becomes 0.
