--- a/review/stand_ins_3/drain_after_cut.cpp
+++ b/review/stand_ins_3/drain_after_cut.cpp
@@ -41,8 +41,9 @@
     place.note("host " + only.id() + " is partitioned from the store");
     only.reaches_store = false;
   });
-  for (double when = 10; when < 16; when += 0.01) {
-    place.at(when, [&] {
+  constexpr int looks = 600;
+  for (int look = 0; look < looks; ++look) {
+    place.at(partitioned_at + look * 0.01, [&] {
       if (gone_at == 0 && !place.records.has("servers/" + only.id())) {
         gone_at = place.now();
       }
--- a/review/stand_ins_3/world.h
+++ b/review/stand_ins_3/world.h
@@ -375,6 +375,13 @@
 
   bool has(const std::string& key) const { return items_.count(key) != 0; }
 
+  /// Empty if there is no such item.
+  std::string value(const std::string& key) const
+  {
+    const auto found = items_.find(key);
+    return found == items_.end() ? std::string() : found->second.value;
+  }
+
   /// Keeps a copy of the present state for `return_from_copy`.
   void keep_copy()
   {
@@ -584,6 +591,8 @@
   double cold_until_ = -1;
   double cold_for_ = 0;
   double last_beat_ = 0;
+  double next_beat_ = 0;
+  std::string entry_;                ///< As it wrote it last.
   std::optional<double> down_until_; ///< Set while it has fallen over.
   descriptor packets_;
   std::unique_ptr<http_server> health_;
@@ -650,6 +659,9 @@
 
   void start();
   void kill();
+
+  /// SIGTERM; it is started again shortly after its end.
+  void restart();
   bool running() const { return process_ > 0; }
   bool in_rotation() const { return running() && misses_ < 2; }
   void advance();
@@ -663,6 +675,8 @@
 private:
   void probe();
 
+  bool end_expected_ = false;
+
   world& world_;
   std::string name_;
   std::string zone_;
@@ -970,13 +984,13 @@
 host::publish()
 {
   last_beat_ = world_.now();
+  next_beat_ = last_beat_ + world_.options().heartbeat_ms / 1000.0;
   const auto left = static_cast<long>(std::max(cold_until_ - world_.now(), 0.0) * 1000);
-  world_.records.put("servers/" + id_,
-                     R"({"service":")" + service_ + R"(","address":")" + to_text(address_) + ":" +
-                       std::to_string(host_port) + R"(","zone":")" + zone_ + R"(","version":"v1","slots":)" +
-                       std::to_string(slots_) + R"(,"state":")" + (draining ? "draining" : "ready") +
-                       R"(","warmup-left-ms":)" + std::to_string(left) + R"(,"seq":)" +
-                       std::to_string(++entry_sequence_) + R"(,"born":)" + std::to_string(born_) + "}");
+  entry_ = R"({"service":")" + service_ + R"(","address":")" + to_text(address_) + ":" + std::to_string(host_port) +
+           R"(","zone":")" + zone_ + R"(","version":"v1","slots":)" + std::to_string(slots_) + R"(,"state":")" +
+           (draining ? "draining" : "ready") + R"(","warmup-left-ms":)" + std::to_string(left) + R"(,"seq":)" +
+           std::to_string(++entry_sequence_) + R"(,"born":)" + std::to_string(born_) + "}";
+  world_.records.put("servers/" + id_, entry_);
 }
 
 inline void
@@ -1005,6 +1019,12 @@
       publish();
     }
     last_beat_ = exists ? time : last_beat_;
+    if (exists && time >= next_beat_) {
+      next_beat_ = time + world_.options().heartbeat_ms / 1000.0;
+      if (world_.records.value("servers/" + id_) != entry_) {
+        publish(); // Another writer has replaced it.
+      }
+    }
   } else if (exists && time - last_beat_ > 3 * world_.options().heartbeat_ms / 1000.0) {
     world_.records.remove("servers/" + id_);
     world_.note("the store removes the entry of host " + id_);
@@ -1349,13 +1369,30 @@
   }
 }
 
+inline void
+daemon_process::restart()
+{
+  if (process_ > 0) {
+    end_expected_ = true;
+    ::kill(process_, SIGTERM);
+    world_.note("daemon " + name_ + " is stopped");
+  }
+}
+
 inline void
 daemon_process::advance()
 {
   if (process_ > 0 && ::waitpid(process_, nullptr, WNOHANG) == process_) {
     process_ = -1;
-    ended_by_itself = true;
-    world_.note("daemon " + name_ + " ended by itself");
+    probe_.reset();
+    if (end_expected_) {
+      constexpr double restart_s = 0.3;
+      world_.at(world_.now() + restart_s, [this] { start(); });
+    } else {
+      ended_by_itself = true;
+      world_.note("daemon " + name_ + " ended by itself");
+    }
+    end_expected_ = false;
   }
   probe();
 }
