steering: log and count why removed targets are kept

A daemon that assumes an outage of the store logs the reason, the time since the store last served and the grace period (records: outage of the store assumed), lapsed has grace_left_ms, and the gone that follows lapsed_ms. Metrics: outages_assumed_total and targets_lapsed by reason, targets_lapsed_seconds. What is decided does not change.

Tests: store_interruptions, a reader, a relay and a follower before a model of the store. Two of them hold what must not be lost when less counts as an outage: flows of living targets go on through outages, and a domain that was cut off from the store keeps removed targets.

--- a/include/coltsfootlock/coordination/steering/record_follower.h
+++ b/include/coltsfootlock/coordination/steering/record_follower.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "coltsfootlock/coordination/steering/assumed_outage.h"
 #include "coltsfootlock/state/record_call.h"
 
 #include <cstdint>
@@ -132,6 +133,7 @@
     bool era_entered = false;                        ///< The complete list is of a higher era than the records before.
     bool lost = false;                               ///< The store was reachable before this response.
     bool regained = false;                           ///< The store was unreachable before this response.
+    std::optional<assumed_outage> outage;            ///< Set if a grace period begins with this response.
   };
 
   /// Handles the response to the last call.
@@ -172,7 +174,10 @@
   bool listing_in_progress() const { return !list_after_.empty() && failures_ == 0; }
 
   /// Until then a missing record may be a consequence of an outage of the store or of a partition.
-  instant outage_grace_end() const { return outage_grace_end_; }
+  instant outage_grace_end() const { return outage_ ? outage_->grace_end : instant{}; }
+
+  /// The last outage of the store that was assumed.
+  const std::optional<assumed_outage>& outage() const { return outage_; }
 
   /// Failed calls to the store since its last response.
   unsigned failures() const { return failures_; }
@@ -190,6 +195,7 @@
   void list_anew(progress& result, std::uint64_t era, instant now);
   void on_call_success(progress& result, const response_age& age, instant now);
   bool missed_an_outage(const response_age& age, instant now) const;
+  void assume_outage(progress& result, outage_sign sign, instant since, instant grace_end, instant now);
   void consume_call_budget(instant now);
   void confirm(const response_age& age, instant now);
   milliseconds store_wait(instant now) const;
@@ -212,7 +218,7 @@
   double calls_left_;
   instant calls_counted_;
   instant next_wakeup_;
-  instant outage_grace_end_;
+  std::optional<assumed_outage> outage_;
   std::optional<instant> confirmed_at_;
   instant latest_sending_; ///< When the response to the current call should have been sent at the latest.
 };
--- a/include/coltsfootlock/coordination/steering/steering_engine.h
+++ b/include/coltsfootlock/coordination/steering/steering_engine.h
@@ -125,6 +125,7 @@
   const steering_counters& counters() const { return counters_; }
   std::size_t flows() const { return flows_.size(); }
   std::size_t targets() const { return targets_.size(); }
+  lapsed_targets lapsed() const { return targets_.lapsed(); }
   const catalogue* current_catalogue() const { return services_.current(); }
 
   /// Returns and clears the events since the last call.
@@ -192,6 +193,7 @@
   void on_restart(const vm_id& id, instant now);
   void report(const char* part, std::string message);
   void report_target(const target_state& target, const std::string& event, instant now);
+  void report_removal(const target_state& target, instant now);
   std::string check_evidence(const target_state& target, instant now);
   steering_decision forward(forward_reason reason, const target_state& target);
   steering_decision reset(flow_end_reason reason, const carried_packet& packet, const vm_id& target);
--- a/include/coltsfootlock/coordination/steering/target_directory.h
+++ b/include/coltsfootlock/coordination/steering/target_directory.h
@@ -16,6 +16,15 @@
 target_token
 token_of_tag(std::uint64_t tag);
 
+/// The targets that were removed shortly after an outage of the store and may return.
+struct lapsed_targets
+{
+  std::size_t count = 0;
+  std::optional<instant> since; ///< When the first of them was removed; empty if there are none.
+
+  auto operator<=>(const lapsed_targets&) const = default;
+};
+
 /// The targets in the platform's records, and those that were removed recently. Changes with an older position than the
 /// known one are ignored.
 ///
@@ -50,8 +59,12 @@
   std::size_t end_snapshot(const store_position& position, instant outage_grace_end, instant now);
 
   /// Marks lapsed targets as gone when the records are confirmed as of the end of their grace period, which a later
-  /// outage renews, and erases targets that have been gone for longer than `retention`.
-  void tick(milliseconds retention, std::optional<instant> confirmed_at, instant outage_grace_end, instant now);
+  /// outage renews, and erases targets that have been gone for longer than `retention`. Returns the lapsed targets that
+  /// are gone now.
+  std::vector<const target_state*> tick(milliseconds retention,
+                                        std::optional<instant> confirmed_at,
+                                        instant outage_grace_end,
+                                        instant now);
 
   /// All targets with this token; more than one only if hashes collide.
   const std::vector<target_state*>& with_token(target_token token) const;
@@ -65,6 +78,8 @@
 
   std::size_t size() const { return targets_.size(); }
 
+  lapsed_targets lapsed() const;
+
 private:
   static bool known_is_newer(const target_state& known, const target_record& record, const store_position& position);
   void index(target_state& target);
--- a/libraries/coordination/steering/record_follower.cpp
+++ b/libraries/coordination/steering/record_follower.cpp
@@ -93,17 +93,34 @@
 void
 record_follower::on_call_success(progress& result, const response_age& age, instant now)
 {
+  const instant known_until = confirmed_at_.value_or(now);
   if (sender_ == record_sender::store && failures_ > 0) {
     result.regained = true;
-    outage_grace_end_ = now + settings_.outage_grace;
+    assume_outage(result, outage_sign::calls_failed, known_until, now + settings_.outage_grace, now);
   }
   if (missed_an_outage(age, now)) {
-    outage_grace_end_ = now + settings_.outage_grace;
+    assume_outage(result, outage_sign::records_gap, known_until, now + settings_.outage_grace, now);
   }
   if (sender_ == record_sender::store) {
     failures_ = 0;
   }
-  outage_grace_end_ = std::max(outage_grace_end_, now + age.outage_grace_left);
+  if (age.outage_grace_left > milliseconds(0)) {
+    assume_outage(result, outage_sign::reported_by_source, known_until, now + age.outage_grace_left, now);
+  } else if (outage_) {
+    outage_->grace_end = std::max(outage_->grace_end, now);
+  }
+}
+
+/// Begins a grace period, or extends the one that has not ended.
+void
+record_follower::assume_outage(progress& result, outage_sign sign, instant since, instant grace_end, instant now)
+{
+  if (outage_ && outage_->grace_end > now) {
+    outage_->grace_end = std::max(outage_->grace_end, grace_end);
+    return;
+  }
+  outage_ = { sign, since, now, grace_end };
+  result.outage = outage_;
 }
 
 /// True if the records of the response are much newer than the last ones, and what kept this daemon from them may have
@@ -183,7 +200,7 @@
   }
   if (position_ != store_position{} && list_position_.era > position_.era) {
     result.era_entered = true;
-    outage_grace_end_ = std::max(outage_grace_end_, now + settings_.outage_grace);
+    assume_outage(result, outage_sign::new_era, now, now + settings_.outage_grace, now);
   }
   // Later pages may be newer than the first one; the watch starts at the first page's position and repeats changes
   // since.
@@ -225,7 +242,7 @@
   relists_from_store_ = false;
   avoids_old_pages_ = true;
   list_after_.clear();
-  outage_grace_end_ = now + settings_.outage_grace;
+  assume_outage(result, outage_sign::new_era, now, now + settings_.outage_grace, now);
   std::uniform_int_distribution<milliseconds::rep> delay(0, settings_.max_era_list_delay.count());
   next_wakeup_ = now + milliseconds(delay(random_));
 }
@@ -246,7 +263,7 @@
     list_anew(result, *response.era, now);
     return result;
   }
-  outage_grace_end_ = now + settings_.outage_grace;
+  assume_outage(result, outage_sign::history_forgotten, confirmed_at_.value_or(now), now + settings_.outage_grace, now);
   listing_ = true;
   relists_from_store_ = sender_ == record_sender::store;
   list_is_old_ = false;
--- a/libraries/coordination/steering/steering_engine.cpp
+++ b/libraries/coordination/steering/steering_engine.cpp
@@ -66,6 +66,16 @@
       " progress_age_ms=" + std::to_string(milliseconds_of(now - std::max(target.last_progress, observing_since_))));
 }
 
+void
+steering_engine::report_removal(const target_state& target, instant now)
+{
+  if (target.phase == target_phase::lapsed) {
+    report_target(target, "lapsed grace_left_ms=" + std::to_string(milliseconds_of(target.lapse_ends - now)), now);
+  } else {
+    report_target(target, "gone", now);
+  }
+}
+
 std::vector<steering_event>
 steering_engine::take_events()
 {
@@ -110,8 +120,7 @@
     void operator()(const target_removed& content) const
     {
       if (engine.targets_.remove(content.id, position, outage_grace_end, now)) {
-        const target_state& target = *engine.targets_.find(content.id);
-        engine.report_target(target, target.phase == target_phase::lapsed ? "lapsed" : "gone", now);
+        engine.report_removal(*engine.targets_.find(content.id), now);
       }
     }
     void operator()(const target_unreadable& content) const
@@ -258,7 +267,9 @@
 {
   isolation_.tick(records_are_fresh(now), now);
   std::vector<reset_flow> resets;
-  targets_.tick(gone_target_retention(), confirmed_at_, outage_grace_end_, now);
+  for (const target_state* target : targets_.tick(gone_target_retention(), confirmed_at_, outage_grace_end_, now)) {
+    report_target(*target, "gone lapsed_ms=" + std::to_string(milliseconds_of(now - target->removed_at)), now);
+  }
   for (const std::string& domain : services_.tick(confirmed_at_, outage_grace_end_)) {
     report("domain", "in service domain=" + domain + " reason=\"the store lost its withdrawal\"");
   }
--- a/libraries/coordination/steering/target_directory.cpp
+++ b/libraries/coordination/steering/target_directory.cpp
@@ -202,18 +202,20 @@
   return missing;
 }
 
-void
+std::vector<const target_state*>
 target_directory::tick(milliseconds retention,
                        std::optional<instant> confirmed_at,
                        instant outage_grace_end,
                        instant now)
 {
+  std::vector<const target_state*> ended;
   for (auto position = targets_.begin(); position != targets_.end();) {
     target_state& target = position->second;
     if (target.phase == target_phase::lapsed && confirmed_at &&
         *confirmed_at >= std::max(target.lapse_ends, outage_grace_end)) {
       target.phase = target_phase::gone;
       target.phase_since = now;
+      ended.push_back(&target);
     }
     if (target.phase == target_phase::gone && now - target.phase_since > retention) {
       unindex(target);
@@ -222,6 +224,21 @@
     }
     ++position;
   }
+  return ended;
+}
+
+lapsed_targets
+target_directory::lapsed() const
+{
+  lapsed_targets result;
+  for (const auto& [id, target] : targets_) {
+    if (target.phase != target_phase::lapsed) {
+      continue;
+    }
+    ++result.count;
+    result.since = std::min(result.since.value_or(target.removed_at), target.removed_at);
+  }
+  return result;
 }
 
 const std::vector<target_state*>&
--- /dev/null
+++ b/libraries/coordination/steering/tests/test_store_interruptions.cpp
@@ -0,0 +1,374 @@
+#include "daemon_model.h"
+
+#include "coltsfootlock/coordination/steering/watch_response.h"
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+using namespace coltsfootlock;
+using coltsfootlock::testing::catalogue_of;
+using coltsfootlock::testing::daemon_model;
+using coltsfootlock::testing::steering_fixture;
+using coltsfootlock::testing::written;
+
+namespace {
+
+constexpr milliseconds step(5);
+
+/// Longest time in which a removal has to be in force.
+constexpr milliseconds drain_time(3000);
+
+/// Longest time for which a target is kept that an outage of the store removed, counted from the first response after
+/// it: the grace period, the wait of the watch that confirms the records as of its end, and the calls.
+constexpr milliseconds max_hold_time(2500 + 1200 + 200);
+
+/// Interval between the heartbeats of targets.
+constexpr milliseconds heartbeat(770);
+
+enum class store_state
+{
+  serves,
+  refuses,       ///< Each call fails at once.
+  rate_limits,   ///< The same, since too many calls were made.
+  sends_garbage, ///< Each response is unreadable.
+  is_silent
+};
+
+struct model_store
+{
+  store_state state = store_state::serves;
+  std::map<std::string, record_change> records;
+  std::vector<record_change> changes;
+  store_position position{ 1, 100 };
+  store_position history_begins; ///< Changes up to this position are not available.
+
+  void write(const std::string& key, const decltype(record_change::content)& content)
+  {
+    ++position.revision;
+    records.insert_or_assign(key, record_change{ position, content });
+    changes.push_back({ position, content });
+  }
+
+  void publish(const target_record& target) { write(target.vm.id, target_published{ target }); }
+
+  void remove(const vm_id& id)
+  {
+    ++position.revision;
+    records.erase(id);
+    changes.push_back({ position, target_removed{ id } });
+  }
+
+  std::vector<record_change> since(const store_position& after) const
+  {
+    std::vector<record_change> result;
+    std::copy_if(changes.begin(), changes.end(), std::back_inserter(result), [&](const record_change& change) {
+      return change.position > after;
+    });
+    return result;
+  }
+
+  record_page list() const
+  {
+    std::vector<record_change> all;
+    for (const auto& [key, record] : records) {
+      all.push_back(record);
+    }
+    return { all, position, "", false, {} };
+  }
+};
+
+struct chained_daemon
+{
+  std::string role;
+  record_sender sender = record_sender::store;
+  chained_daemon* source = nullptr; ///< Null for the store.
+  daemon_model model;
+  std::optional<record_call> call{};
+  instant called{};
+  instant deadline{};
+  instant renewed_at{};
+  std::uint64_t resets = 0;
+};
+
+/// A reader of the store, a relay that follows it and a follower of the relay. Calls take one step each way.
+class chain_of_daemons
+{
+public:
+  instant now = instant(seconds(10));
+  model_store store;
+  std::deque<chained_daemon> daemons;
+
+  chain_of_daemons()
+  {
+    store.write("catalogue", catalogue_published{ catalogue_of(1) });
+    store.publish(written(1, 10));
+    add("reader", record_sender::store, nullptr);
+    add("relay", record_sender::own_domain, &daemons.front());
+    add("follower", record_sender::own_domain, &daemons.back());
+    play(milliseconds(5000));
+  }
+
+  chained_daemon& add(const std::string& role, record_sender sender, chained_daemon* source)
+  {
+    daemons.push_back({ role, sender, source, daemon_model(static_cast<std::uint32_t>(daemons.size()) + 7) });
+    chained_daemon& daemon = daemons.back();
+    daemon.model.engine.on_pause(now);
+    daemon.model.engine.on_backlog_end();
+    return daemon;
+  }
+
+  chained_daemon& reader() { return daemons.front(); }
+
+  void play(duration time)
+  {
+    const instant end = now + time;
+    while (now < end) {
+      now += step;
+      for (chained_daemon& daemon : daemons) {
+        advance(daemon);
+      }
+    }
+  }
+
+  /// Ends the watches of the store that wait.
+  void cut_watches()
+  {
+    for (chained_daemon& daemon : daemons) {
+      if (daemon.source == nullptr && daemon.call && waits(*daemon.call)) {
+        fail(daemon, error_kind::unavailable);
+      }
+    }
+  }
+
+  /// The daemons that open new flows at a target.
+  std::string users_of(std::uint64_t tag)
+  {
+    std::string result;
+    for (chained_daemon& daemon : daemons) {
+      result += daemon.model.chosen(now).contains(tag) ? daemon.role + " " : "";
+    }
+    return result;
+  }
+
+  /// Lets a target get an answer through each daemon, so that its flow is open there.
+  void open_flows(std::uint16_t port)
+  {
+    for (chained_daemon& daemon : daemons) {
+      carried_packet packet;
+      packet.flow = steering_fixture::flow_of(port);
+      packet.opens = true;
+      packet.sequence = 100;
+      const auto decision = daemon.model.engine.on_packet(packet, now);
+      const auto* opened = std::get_if<forward_packet>(&decision);
+      BOOST_REQUIRE(opened != nullptr);
+      packet.opens = false;
+      packet.token = opened->token;
+      packet.acknowledged = 1;
+      packet.sequence = 101;
+      daemon.model.engine.on_packet(packet, now);
+    }
+  }
+
+  /// Takes the events of the daemon.
+  static bool has_event(chained_daemon& daemon, const std::string& start)
+  {
+    const std::vector<steering_event> events = daemon.model.engine.take_events();
+    return std::any_of(
+      events.begin(), events.end(), [&start](const steering_event& event) { return event.message.starts_with(start); });
+  }
+
+  std::uint64_t resets() const
+  {
+    std::uint64_t result = 0;
+    for (const chained_daemon& daemon : daemons) {
+      result += daemon.resets;
+    }
+    return result;
+  }
+
+private:
+  static bool waits(const record_call& call)
+  {
+    const auto* watch = std::get_if<watch_call>(&call);
+    return watch != nullptr && watch->wait > milliseconds(0);
+  }
+
+  void receive(chained_daemon& daemon, const record_response& response)
+  {
+    daemon.call.reset();
+    const auto before = daemon.model.follower.confirmed_at();
+    daemon.model.receive(response, now);
+    const auto after = daemon.model.follower.confirmed_at();
+    if (after && (!before || *after - *before >= milliseconds(100))) {
+      daemon.renewed_at = now;
+    }
+  }
+
+  void fail(chained_daemon& daemon, error_kind kind)
+  {
+    receive(daemon, call_failed{ { kind, "the store does not serve" } });
+  }
+
+  void advance(chained_daemon& daemon)
+  {
+    daemon.resets += daemon.model.engine.tick(now).size();
+    if (daemon.call && now - daemon.called >= 2 * step) {
+      daemon.source == nullptr ? finish_store_call(daemon) : finish_peer_call(daemon);
+    }
+    if (!daemon.call) {
+      if (const auto planned = daemon.model.follower.next_call(daemon.sender, false, now)) {
+        daemon.call = planned->call;
+        daemon.called = now;
+        daemon.deadline = now + planned->timeout;
+      }
+    }
+  }
+
+  void finish_store_call(chained_daemon& daemon)
+  {
+    switch (store.state) {
+      case store_state::refuses:
+        return fail(daemon, error_kind::unavailable);
+      case store_state::rate_limits:
+        return fail(daemon, error_kind::unavailable);
+      case store_state::sends_garbage:
+        return fail(daemon, error_kind::syntax);
+      case store_state::is_silent:
+        return now >= daemon.deadline ? fail(daemon, error_kind::unavailable) : void();
+      case store_state::serves:
+        break;
+    }
+    const auto* watch = std::get_if<watch_call>(&*daemon.call);
+    if (watch == nullptr) {
+      return receive(daemon, store.list());
+    }
+    if (watch->after.era == store.position.era && watch->after < store.history_begins) {
+      return receive(daemon, history_unavailable{ store.position.era });
+    }
+    const bool due = now - daemon.called >= watch->wait + 2 * step;
+    if (due || watch->after.era != store.position.era || store.position > watch->after) {
+      receive(daemon, record_events{ store.since(watch->after), store.position, {} });
+    }
+  }
+
+  void finish_peer_call(chained_daemon& daemon)
+  {
+    chained_daemon& source = *daemon.source;
+    const auto confirmed = source.model.follower.confirmed_at();
+    if (!confirmed || !source.model.cache.complete()) {
+      return;
+    }
+    const response_age age{ std::chrono::ceil<milliseconds>(now - *confirmed),
+                            std::max(std::chrono::ceil<milliseconds>(source.model.follower.outage_grace_end() - now),
+                                     milliseconds(0)) };
+    const record_cache& cache = source.model.cache;
+    const auto* watch = std::get_if<watch_call>(&*daemon.call);
+    if (watch == nullptr) {
+      return receive(daemon, record_page{ cache.all().value(), cache.position(), "", false, age });
+    }
+    const pending_watch request{ watch->after, daemon.called + step, watch->wait, 0, std::chrono::hours(1) };
+    if (!response_is_due(request, { cache.position(), age.records, source.renewed_at, 0, false }, now)) {
+      return;
+    }
+    const auto changes = cache.since(watch->after);
+    if (!changes) {
+      return receive(daemon, history_unavailable{});
+    }
+    receive(daemon, record_events{ *changes, cache.position(), age });
+  }
+};
+
+const std::vector<milliseconds> phases = {
+  milliseconds(0),   milliseconds(150), milliseconds(300), milliseconds(450),
+  milliseconds(600), milliseconds(750), milliseconds(900), milliseconds(1050)
+};
+
+}
+
+BOOST_FIXTURE_TEST_SUITE(store_interruptions, chain_of_daemons)
+
+// What an operator sees while removed targets are kept: why, since when, and for which targets.
+BOOST_AUTO_TEST_CASE(kept_targets_are_counted_and_logged)
+{
+  store.state = store_state::refuses;
+  cut_watches();
+  const instant lost = now;
+  play(milliseconds(4000));
+  store.remove("t-1");
+  store.state = store_state::serves;
+  play(milliseconds(1000));
+  for (chained_daemon& daemon : daemons) {
+    const auto outage = daemon.model.follower.outage();
+    BOOST_TEST_REQUIRE(outage.has_value());
+    BOOST_TEST(
+      (outage->sign == (daemon.source == nullptr ? outage_sign::calls_failed : outage_sign::reported_by_source)));
+    BOOST_TEST((outage->since <= lost && lost - outage->since <= milliseconds(1300)), daemon.role);
+    BOOST_TEST((outage->noticed > lost && outage->noticed < now));
+    BOOST_TEST((outage->grace_end > now));
+    BOOST_TEST(daemon.model.engine.lapsed().count == 1U);
+    BOOST_TEST((daemon.model.engine.lapsed().since.value() >= outage->noticed));
+    BOOST_TEST(has_event(daemon, "lapsed grace_left_ms="), daemon.role);
+  }
+}
+
+// flows go on, and new ones find a target all the while.
+BOOST_AUTO_TEST_CASE(living_targets_keep_their_flows_through_an_outage)
+{
+  for (const store_state state : { store_state::refuses, store_state::is_silent }) {
+    for (const milliseconds away : { 2 * heartbeat, milliseconds(2500), milliseconds(6000) }) {
+      for (const milliseconds phase : phases) {
+        chain_of_daemons fleet;
+        fleet.play(phase);
+        fleet.open_flows(1);
+        fleet.store.state = state;
+        fleet.cut_watches();
+        fleet.play(away);
+        fleet.store.remove("t-1");
+        fleet.store.state = store_state::serves;
+        for (const instant back = fleet.now + milliseconds(2000); fleet.now < back;) {
+          fleet.play(milliseconds(100));
+          BOOST_TEST(fleet.users_of(1) == "reader relay follower ",
+                     fleet.users_of(1) << "away " << away.count() << " ms, phase " << phase.count() << " ms");
+        }
+        fleet.store.publish(written(1, 11));
+        fleet.play(milliseconds(6000));
+        BOOST_TEST(fleet.resets() == 0U, "away " << away.count() << " ms, phase " << phase.count() << " ms");
+        BOOST_TEST(fleet.users_of(1) == "reader relay follower ");
+      }
+    }
+  }
+}
+
+// write, and what expired returns after the end of the partition.
+BOOST_AUTO_TEST_CASE(a_domain_that_was_cut_off_keeps_removed_targets_when_it_reads_the_store_again)
+{
+  chained_daemon& elsewhere = add("elsewhere", record_sender::store, nullptr);
+  chained_daemon& cut_off = add("cut off", record_sender::store, nullptr);
+  play(milliseconds(2000));
+  cut_off.model.call(record_sender::store, now);
+  cut_off.model.receive(call_failed{ { error_kind::unavailable, "no answer" } }, now);
+  cut_off.model.call(record_sender::store, now);
+  cut_off.model.receive(call_failed{ { error_kind::unavailable, "no answer" } }, now);
+  cut_off.sender = record_sender::other_domain;
+  cut_off.source = &elsewhere;
+  cut_off.call.reset();
+  play(milliseconds(2000));
+  cut_off.sender = record_sender::store;
+  cut_off.source = nullptr;
+  cut_off.call.reset();
+  cut_off.model.follower.on_peer_failure();
+  play(milliseconds(100));
+  store.remove("t-1");
+  play(milliseconds(100));
+  BOOST_TEST(users_of(1) == "cut off ", users_of(1));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/programs/coltsfootlockd/carried/carried_metrics.cpp
+++ b/programs/coltsfootlockd/carried/carried_metrics.cpp
@@ -82,6 +82,24 @@
                 services == nullptr ? 0 : static_cast<double>(services->version));
 }
 
+/// What the daemon does because the store may have been away, why and for how long.
+void
+add_outages(const record_path& records, const lapsed_targets& lapsed, instant now, metric_builder& metrics)
+{
+  metrics.begin_counter("outages_assumed_total", "Outages of the store that the daemon assumed, by reason.");
+  add_by_reason<outage_sign>(metrics, records.counters().assumed_outages);
+  metrics.begin_gauge("targets_lapsed",
+                      "Removed targets that still get flows since the store may have been away, by reason.");
+  for (std::size_t sign = 0; sign < outage_sign_count; ++sign) {
+    const bool applies = records.outage() && static_cast<std::size_t>(records.outage()->sign) == sign;
+    metrics.add(applies ? static_cast<double>(lapsed.count) : 0,
+                { { "reason", to_string(static_cast<outage_sign>(sign)) } });
+  }
+  metrics.gauge("targets_lapsed_seconds",
+                "Time since the first of the lapsed targets was removed; 0 if there are none.",
+                lapsed.since ? std::chrono::duration<double>(now - *lapsed.since).count() : 0);
+}
+
 void
 add_records(const record_path& records, instant now, metric_builder& metrics)
 {
@@ -189,6 +207,7 @@
   metric_builder metrics;
   add_engine(engine, metrics);
   add_records(records, now, metrics);
+  add_outages(records, engine.lapsed(), now, metrics);
   add_loads(loads, engine, now, metrics);
   metrics.counter(
     "record_bytes_sent_total", "Bytes of answers sent to other daemons.", static_cast<double>(sent_record_bytes));
--- a/programs/coltsfootlockd/carried/record_path.cpp
+++ b/programs/coltsfootlockd/carried/record_path.cpp
@@ -342,6 +342,9 @@
   if (progress.regained) {
     write_log(log_level::info, "store", "regained position=" + to_string(follower_.position()));
   }
+  if (progress.outage) {
+    on_assumed_outage(*progress.outage, now);
+  }
   if (progress.relists_for_era) {
     write_log(log_level::info,
               "records",
@@ -375,6 +378,18 @@
   }
 }
 
+void
+record_path::on_assumed_outage(const assumed_outage& outage, instant now)
+{
+  ++counters_.assumed_outages.at(static_cast<std::size_t>(outage.sign));
+  write_log(log_level::warning,
+            "records",
+            std::string("outage of the store assumed reason=") + to_string(outage.sign) +
+              " unserved_ms=" + std::to_string(std::chrono::duration_cast<milliseconds>(now - outage.since).count()) +
+              " grace_ms=" + std::to_string(std::chrono::duration_cast<milliseconds>(outage.grace_end - now).count()) +
+              " source=" + (peer_ ? peer_->id : std::string("store")) + " position=" + to_string(follower_.position()));
+}
+
 void
 record_path::apply(const record_follower::progress& progress, instant now)
 {
--- a/programs/coltsfootlockd/carried/record_path.h
+++ b/programs/coltsfootlockd/carried/record_path.h
@@ -10,6 +10,7 @@
 #include "coltsfootlock/coordination/steering/steering_engine.h"
 #include "coltsfootlock/transport/http_exchange.h"
 
+#include <array>
 #include <map>
 #include <optional>
 #include <string>
@@ -31,6 +32,7 @@
   std::uint64_t era_lists = 0;                         ///< Complete lists of a higher era than the records before.
   std::uint64_t lower_era_responses = 0;               ///< Refused, since this daemon has heard of a higher era.
   std::map<error_kind, std::uint64_t> unusable_eras{}; ///< Headers of the store that state no era, by reason.
+  std::array<std::uint64_t, outage_sign_count> assumed_outages{};
 
   auto operator<=>(const record_counters&) const = default;
 };
@@ -95,6 +97,7 @@
 
   const record_cache& cache() const { return cache_; }
   std::optional<instant> confirmed_at() const { return follower_.confirmed_at(); }
+  const std::optional<assumed_outage>& outage() const { return follower_.outage(); }
   const record_counters& counters() const { return counters_; }
   const time_histogram& list_seconds() const { return list_seconds_; }
 
@@ -119,6 +122,7 @@
   void on_response(record_response response, instant now);
   void on_peer_failure(const std::string& problem, instant now);
   void on_old_records(milliseconds records_age, instant now);
+  void on_assumed_outage(const assumed_outage& outage, instant now);
   void apply(const record_follower::progress& progress, instant now);
 
   const std::string domain_;
