steering: a response does not renew the grace period of its receiver

Cause: a response whose sender has no grace period left (0 ms, so any of the store) set the end of the daemon's own grace period to the time of that response. What waits ends when the records are confirmed as of that end. A watch without changes confirms them as of the end of its wait, and a response of another daemon as of its age, both before the time of the response. So the condition held only after a response with a change.

Ruled out: a renewed outage (no second "outage of the store assumed"), and records that are not confirmed (their age stays below 1.3 s).

The end now moves only if the sender has a grace period left, or if another outage is assumed. What waits then ends with the first confirmation after that: 2.5 s after the first response after an outage, and at most 1.2 s of a watch's wait, at readers, at relays and at their followers.

--- a/libraries/coordination/steering/record_follower.cpp
+++ b/libraries/coordination/steering/record_follower.cpp
@@ -106,8 +106,6 @@
   }
   if (age.outage_grace_left > milliseconds(0)) {
     assume_outage(result, outage_sign::reported_by_source, known_until, now + age.outage_grace_left, now);
-  } else if (outage_) {
-    outage_->grace_end = std::max(outage_->grace_end, now);
   }
 }
 
--- a/libraries/coordination/steering/tests/test_store_interruptions.cpp
+++ b/libraries/coordination/steering/tests/test_store_interruptions.cpp
@@ -295,6 +295,30 @@
 
 BOOST_FIXTURE_TEST_SUITE(store_interruptions, chain_of_daemons)
 
+// still find it while it may be alive, and none afterwards.
+BOOST_AUTO_TEST_CASE(targets_removed_by_an_outage_are_kept_for_a_bounded_time)
+{
+  for (const store_state state : { store_state::refuses, store_state::is_silent }) {
+    for (const milliseconds phase : phases) {
+      chain_of_daemons fleet;
+      fleet.play(phase);
+      fleet.store.state = state;
+      fleet.cut_watches();
+      fleet.play(milliseconds(4000));
+      fleet.store.remove("t-1");
+      fleet.store.state = store_state::serves;
+      const auto regained = [&fleet] { return fleet.reader().model.follower.position() == fleet.store.position; };
+      while (!regained()) {
+        fleet.play(step);
+      }
+      fleet.play(milliseconds(2300));
+      BOOST_TEST(fleet.users_of(1) == "reader relay follower ", fleet.users_of(1) << "phase " << phase.count());
+      fleet.play(max_hold_time - milliseconds(2300));
+      BOOST_TEST(fleet.users_of(1).empty(), fleet.users_of(1) << "phase " << phase.count());
+    }
+  }
+}
+
 // What an operator sees while removed targets are kept: why, since when, and for which targets.
 BOOST_AUTO_TEST_CASE(kept_targets_are_counted_and_logged)
 {
@@ -319,6 +343,22 @@
   }
 }
 
+// The end of the wait is logged as well, and nothing counts as kept any more.
+BOOST_AUTO_TEST_CASE(the_end_of_the_wait_for_removed_targets_is_logged)
+{
+  store.state = store_state::refuses;
+  cut_watches();
+  play(milliseconds(4000));
+  store.remove("t-1");
+  store.state = store_state::serves;
+  play(milliseconds(1000) + max_hold_time);
+  for (chained_daemon& daemon : daemons) {
+    BOOST_TEST(daemon.model.engine.lapsed().count == 0U);
+    BOOST_TEST(!daemon.model.engine.lapsed().since.has_value());
+    BOOST_TEST(has_event(daemon, "gone lapsed_ms="), daemon.role);
+  }
+}
+
 // flows go on, and new ones find a target all the while.
 BOOST_AUTO_TEST_CASE(living_targets_keep_their_flows_through_an_outage)
 {
@@ -347,6 +387,71 @@
   }
 }
 
+// An outage in which the store forgets its history as well.
+BOOST_AUTO_TEST_CASE(targets_that_a_list_after_an_outage_lacks_are_kept_for_a_bounded_time)
+{
+  for (const milliseconds phase : phases) {
+    chain_of_daemons fleet;
+    fleet.play(phase);
+    fleet.open_flows(1);
+    fleet.store.state = store_state::refuses;
+    fleet.cut_watches();
+    fleet.play(milliseconds(4000));
+    fleet.store.remove("t-1");
+    fleet.store.history_begins = fleet.store.position;
+    fleet.store.state = store_state::serves;
+    fleet.play(milliseconds(2300));
+    BOOST_TEST(fleet.users_of(1) == "reader relay follower ", fleet.users_of(1) << "phase " << phase.count());
+    BOOST_TEST(fleet.resets() == 0U);
+    fleet.play(milliseconds(1000) + max_hold_time - milliseconds(2300));
+    BOOST_TEST(fleet.users_of(1).empty(), fleet.users_of(1) << "phase " << phase.count());
+  }
+}
+
+// Daemons that start get the target from the cache only until then.
+BOOST_AUTO_TEST_CASE(what_a_new_era_lacks_is_kept_for_a_bounded_time)
+{
+  for (const milliseconds phase : phases) {
+    chain_of_daemons fleet;
+    fleet.store.publish(written(2, 10, false, "b"));
+    fleet.store.write("domain b", domain_switched{ "b", false });
+    fleet.play(milliseconds(1000) + phase);
+    BOOST_TEST(fleet.users_of(2).empty());
+    fleet.store.position = { 2, 50 };
+    fleet.store.changes.clear();
+    fleet.store.records.clear();
+    fleet.store.write("catalogue", catalogue_published{ catalogue_of(1) });
+    fleet.store.publish(written(2, 11, false, "b"));
+    fleet.cut_watches();
+    fleet.play(milliseconds(2000));
+    BOOST_TEST(fleet.users_of(1) == "reader relay follower ", fleet.users_of(1) << "phase " << phase.count());
+    BOOST_TEST(fleet.users_of(2).empty(), fleet.users_of(2) << "phase " << phase.count());
+    fleet.play(milliseconds(300) + max_hold_time - milliseconds(2000));
+    BOOST_TEST(fleet.users_of(1).empty(), fleet.users_of(1) << "phase " << phase.count());
+    BOOST_TEST(fleet.users_of(2) == "reader relay follower ", fleet.users_of(2) << "phase " << phase.count());
+    for (const chained_daemon& daemon : fleet.daemons) {
+      BOOST_TEST(daemon.model.cache.all()->size() == 2U, daemon.role);
+      BOOST_TEST((daemon.model.follower.outage_grace_end() < fleet.now), daemon.role);
+    }
+  }
+}
+
+// comes back may be alive.
+BOOST_AUTO_TEST_CASE(a_daemon_that_starts_during_an_outage_keeps_removed_targets)
+{
+  chained_daemon& started = add("started", record_sender::store, nullptr);
+  started.model.call(record_sender::store, now);
+  started.model.receive(store.list(), now);
+  store.state = store_state::refuses;
+  play(milliseconds(4000));
+  store.remove("t-1");
+  store.state = store_state::serves;
+  play(milliseconds(2300));
+  BOOST_TEST(users_of(1) == "reader relay follower started ", users_of(1));
+  play(milliseconds(1000) + max_hold_time - milliseconds(2300));
+  BOOST_TEST(users_of(1).empty(), users_of(1));
+}
+
 // write, and what expired returns after the end of the partition.
 BOOST_AUTO_TEST_CASE(a_domain_that_was_cut_off_keeps_removed_targets_when_it_reads_the_store_again)
 {
@@ -371,4 +476,26 @@
   BOOST_TEST(users_of(1) == "cut off ", users_of(1));
 }
 
+// receiver.
+BOOST_AUTO_TEST_CASE(a_response_without_a_grace_period_does_not_move_its_end)
+{
+  record_follower follower(follower_settings{}, 1);
+  const auto respond = [&](milliseconds grace_left) {
+    BOOST_REQUIRE(follower.next_call(record_sender::own_domain, false, now).has_value());
+    follower.on_response(record_events{ {}, { 1, 100 }, { milliseconds(0), grace_left } }, now);
+  };
+  BOOST_REQUIRE(follower.next_call(record_sender::own_domain, false, now).has_value());
+  follower.on_response(record_page{ {}, { 1, 100 }, "", false, {} }, now);
+  respond(milliseconds(0));
+  BOOST_TEST((follower.outage_grace_end() < now));
+  respond(milliseconds(800));
+  const instant ends = now + milliseconds(800);
+  BOOST_TEST((follower.outage_grace_end() == ends));
+  for (int response = 0; response < 20; ++response) {
+    now += milliseconds(100);
+    respond(milliseconds(0));
+    BOOST_TEST((follower.outage_grace_end() == ends));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
