steering: only an interruption that can cost a target its record is an outage

Cause: one failed call to the store, thus also one watch that the store cuts, one 429 and one response that cannot be read, counted as an outage of the store, and all followers of the reader took its grace period over. A reader that the store refused alone made its whole domain assume an outage as well, although another daemon of the domain had been served all the while. The watch after a cut one waited for the next change, up to 1.2 s, before it showed that the store serves.

Ruled out: calls that fail for longer (one "lost" line), and another source of the grace period (reported_by_source names the reader).

An outage is now an interruption of at least one heartbeat of the targets, from the time when the store should have answered the first failed call to its next response, and not while it served another daemon of the domain. A record expires after three heartbeats, so that no shorter interruption costs a living target its record. A watch after a failed call does not wait. 429, which any daemon may get, and unreadable responses are answers: they begin no interruption.

missing_records_have_a_grace_period_after_an_outage expected a grace period after a single failed call, which is the fault. It now has calls fail for as long as an outage takes, and a_call_that_fails_once_is_no_outage holds the rest.

--- a/include/coltsfootlock/coordination/steering/record_follower.h
+++ b/include/coltsfootlock/coordination/steering/record_follower.h
@@ -64,6 +64,11 @@
   /// For this long after an outage of the store, a missing record may be a consequence of the outage.
   milliseconds outage_grace{ 2500 };
 
+  /// If calls to the store failed for this long, from the first failure to the next response, that was such an outage.
+  /// The heartbeat interval of the targets: in a shorter time no target misses enough heartbeats for its record to
+  /// expire, which takes three.
+  milliseconds max_interruption{ 770 };
+
   /// If the records were not confirmed for longer than this, the daemon may have missed such an outage or a partition
   /// of its domain, unless another daemon of the domain missed nothing. Above the usual interval between confirmations,
   /// which is `watch_wait`, and not below two heartbeats of the targets, before which no record expires.
@@ -86,6 +91,10 @@
 /// Load patterns: a store that is down or slow, refuses this daemon, loses responses, or discards its history; many
 /// changes in a row while many daemons watch.
 ///
+/// Load pattern: the store cuts a watch that waits, refuses a call or two, or limits the rate of calls, as on any day.
+/// A failed call is followed by one that does not wait, which shows whether the store serves, and only an interruption
+/// that can have cost targets their records is an outage.
+///
 /// Load pattern: a daemon that was cut off for seconds while large catalogues came in quick succession asks for all
 /// changes since, which are too large for one response. It lists the records instead, of which there is one catalogue.
 ///
@@ -194,6 +203,7 @@
   progress on(const call_failed& response, instant now);
   void list_anew(progress& result, std::uint64_t era, instant now);
   void on_call_success(progress& result, const response_age& age, instant now);
+  bool was_interrupted(instant now) const;
   bool missed_an_outage(const response_age& age, instant now) const;
   void assume_outage(progress& result, outage_sign sign, instant since, instant grace_end, instant now);
   void consume_call_budget(instant now);
@@ -215,6 +225,8 @@
   store_position position_;
   std::uint64_t era_ = 0;
   unsigned failures_ = 0;
+  std::optional<instant> interrupted_since_; ///< When the store should have answered the first of the failed calls.
+  std::optional<instant> served_at_;         ///< When the store last served this daemon, or another one of its domain.
   double calls_left_;
   instant calls_counted_;
   instant next_wakeup_;
--- a/include/coltsfootlock/state/error.h
+++ b/include/coltsfootlock/state/error.h
@@ -19,6 +19,7 @@
   unauthenticated, ///< A seal is missing, wrong, or replayed.
   unavailable,     ///< The other side did not answer in time.
   stale,           ///< The input is older than what is in force.
+  rate_limited,    ///< The other side refuses calls beyond a rate.
 };
 
 /// Why an operation gave no result. The message names the value at fault and the remedy.
--- a/libraries/coordination/steering/record_follower.cpp
+++ b/libraries/coordination/steering/record_follower.cpp
@@ -61,11 +61,12 @@
 }
 
 /// A pause of the call budget before the watch counts as part of its wait, so that the records of a daemon that reads
-/// the store are confirmed every `watch_wait`.
+/// the store are confirmed every `watch_wait`. A watch after a failed call does not wait: its response shows that the
+/// store serves.
 milliseconds
 record_follower::store_wait(instant now) const
 {
-  if (!confirmed_at_) {
+  if (!confirmed_at_ || failures_ > 0) {
     return milliseconds(0);
   }
   const auto age = std::chrono::ceil<milliseconds>(now - *confirmed_at_);
@@ -94,15 +95,16 @@
 record_follower::on_call_success(progress& result, const response_age& age, instant now)
 {
   const instant known_until = confirmed_at_.value_or(now);
-  if (sender_ == record_sender::store && failures_ > 0) {
-    result.regained = true;
-    assume_outage(result, outage_sign::calls_failed, known_until, now + settings_.outage_grace, now);
-  }
-  if (missed_an_outage(age, now)) {
+  if (was_interrupted(now)) {
+    const instant since = served_at_.value_or(*interrupted_since_);
+    assume_outage(result, outage_sign::calls_failed, since, now + settings_.outage_grace, now);
+  } else if (missed_an_outage(age, now)) {
     assume_outage(result, outage_sign::records_gap, known_until, now + settings_.outage_grace, now);
   }
   if (sender_ == record_sender::store) {
+    result.regained = failures_ > 0;
     failures_ = 0;
+    interrupted_since_.reset();
   }
   if (age.outage_grace_left > milliseconds(0)) {
     assume_outage(result, outage_sign::reported_by_source, known_until, now + age.outage_grace_left, now);
@@ -121,13 +123,24 @@
   result.outage = outage_;
 }
 
+/// True if the response is the store's first one after an interruption in which targets may have lost their records. As
+/// far as the store served another daemon of the domain meanwhile, it did not keep the domain's targets from writing.
+bool
+record_follower::was_interrupted(instant now) const
+{
+  if (sender_ != record_sender::store || !interrupted_since_) {
+    return false;
+  }
+  return now - std::max(*interrupted_since_, served_at_.value_or(instant{})) >= settings_.max_interruption;
+}
+
 /// True if the records of the response are much newer than the last ones, and what kept this daemon from them may have
 /// kept the targets of its domain from the store: the sender is elsewhere and need not have been affected.
 bool
 record_follower::missed_an_outage(const response_age& age, instant now) const
 {
-  return sender_ != record_sender::own_domain && confirmed_at_ &&
-         now - age.records - *confirmed_at_ > settings_.max_record_gap;
+  const std::optional<instant>& known = sender_ == record_sender::store ? served_at_ : confirmed_at_;
+  return sender_ != record_sender::own_domain && known && now - age.records - *known > settings_.max_record_gap;
 }
 
 void
@@ -249,7 +262,10 @@
 record_follower::confirm(const response_age& age, instant now)
 {
   const instant at = std::min(now, latest_sending_) - age.records;
-  confirmed_at_ = confirmed_at_ ? std::max(*confirmed_at_, at) : at;
+  confirmed_at_ = std::max(confirmed_at_.value_or(at), at);
+  if (sender_ != record_sender::other_domain) {
+    served_at_ = std::max(served_at_.value_or(at), at);
+  }
 }
 
 record_follower::progress
@@ -271,10 +287,14 @@
 }
 
 record_follower::progress
-record_follower::on(const call_failed&, instant now)
+record_follower::on(const call_failed& response, instant now)
 {
   progress result;
   result.lost = failures_ == 0;
+  // An answer that is of no use here does not show that the store keeps targets from writing.
+  if (response.why.kind == error_kind::unavailable && !interrupted_since_) {
+    interrupted_since_ = std::min(now, latest_sending_);
+  }
   ++failures_;
   if (failures_ == 1) {
     next_wakeup_ = now;
--- a/libraries/coordination/steering/tests/test_record_age.cpp
+++ b/libraries/coordination/steering/tests/test_record_age.cpp
@@ -86,6 +86,12 @@
     return std::chrono::ceil<milliseconds>(now - daemon.follower->confirmed_at().value_or(now));
   }
 
+  milliseconds grace_left(const domain_daemon& daemon) const
+  {
+    const auto left = std::chrono::ceil<milliseconds>(daemon.follower->outage_grace_end() - now);
+    return std::max(left, milliseconds(0));
+  }
+
   void fail(domain_daemon& daemon)
   {
     daemon.call.reset();
@@ -139,7 +145,7 @@
     domain_daemon* source = daemon.peer ? find(daemon.peer->id) : nullptr;
     const bool answered = source != nullptr ? peer_answers(daemon, *source) : store_answers(daemon);
     if (answered) {
-      receive(daemon, { source != nullptr ? age(*source) : milliseconds(0), milliseconds(0) });
+      receive(daemon, source != nullptr ? response_age{ age(*source), grace_left(*source) } : response_age{});
     } else if (now >= daemon.call_deadline) {
       fail(daemon);
     }
@@ -270,6 +276,31 @@
   }
 }
 
+// The store refuses or does not answer the reader alone, for a while or for good. It serves the others, so that what it
+// removes is gone for them, and the reader itself follows one of them before it reads the store again.
+BOOST_AUTO_TEST_CASE(a_reader_that_is_cut_off_alone_makes_no_other_daemon_assume_an_outage)
+{
+  for (const int size : { 3, 9, 57 }) {
+    for (const milliseconds cut_for :
+         { milliseconds(500), milliseconds(2000), milliseconds(3500), milliseconds(8000) }) {
+      for (milliseconds phase(0); phase < milliseconds(1300); phase += milliseconds(300)) {
+        domain_model domain(size);
+        domain.play(milliseconds(6000) + phase);
+        domain_daemon& reader = *domain.find(domain.by_rank().front());
+        reader.cut = true;
+        domain.play(cut_for);
+        reader.cut = false;
+        domain.play(milliseconds(10000));
+        for (const domain_daemon& one : domain.daemons) {
+          BOOST_TEST((one.self.id == reader.self.id || !one.follower->outage().has_value()),
+                     one.self.id << " of " << size << ", cut off for " << cut_for.count() << " ms, phase "
+                                 << phase.count() << " ms");
+        }
+      }
+    }
+  }
+}
+
 // A source that does not answer is given up when its records should have been renewed, and any source when the records
 // are to be read from the store.
 BOOST_AUTO_TEST_CASE(a_source_is_given_up_in_time_to_read_the_store)
--- a/libraries/coordination/steering/tests/test_record_follower.cpp
+++ b/libraries/coordination/steering/tests/test_record_follower.cpp
@@ -125,7 +125,14 @@
   BOOST_TEST((follower.outage_grace_end() <= now));
   now = std::max(now, follower.next_wakeup());
   call();
+  const instant failed = now;
   follower.on_response(failure, now);
+  while (now - failed < settings.max_interruption) {
+    now = std::max(now, follower.next_wakeup());
+    call();
+    now += milliseconds(5);
+    follower.on_response(failure, now);
+  }
   now = std::max(now, follower.next_wakeup());
   call();
   const auto progress = follower.on_response(record_events{ {}, 51, {} }, now);
@@ -133,6 +140,31 @@
   BOOST_TEST((follower.outage_grace_end() == now + settings.outage_grace));
 }
 
+// A watch that is cut, and one refused call after it, cost no target its record. The call that follows does not wait
+// for a change, so that it shows at once that the store serves.
+BOOST_AUTO_TEST_CASE(a_call_that_fails_once_is_no_outage)
+{
+  list(50);
+  for (const bool refused_as_well : { false, true }) {
+    call();
+    now += milliseconds(1100);
+    follower.on_response(failure, now);
+    if (refused_as_well) {
+      call();
+      now += milliseconds(5);
+      follower.on_response(failure, now);
+      now = std::max(now, follower.next_wakeup());
+    }
+    BOOST_TEST((std::get<watch_call>(call()).wait == milliseconds(0)));
+    const auto progress = follower.on_response(record_events{ {}, 50, {} }, now);
+    BOOST_TEST(progress.regained);
+    BOOST_TEST(!progress.outage.has_value());
+    BOOST_TEST((follower.outage_grace_end() <= now));
+    BOOST_TEST((follower.confirmed_at().value() == now));
+    now = std::max(now, follower.next_wakeup());
+  }
+}
+
 // Load pattern: a domain is cut off, and the records of its targets expire. When the partition ends, its daemons learn
 // of that from another domain, which was not cut off, before the targets have published their records again.
 BOOST_AUTO_TEST_CASE(records_removed_during_a_partition_have_a_grace_period_for_those_who_learn_of_it_later)
--- a/libraries/coordination/steering/tests/test_store_interruptions.cpp
+++ b/libraries/coordination/steering/tests/test_store_interruptions.cpp
@@ -238,7 +238,7 @@
       case store_state::refuses:
         return fail(daemon, error_kind::unavailable);
       case store_state::rate_limits:
-        return fail(daemon, error_kind::unavailable);
+        return fail(daemon, error_kind::rate_limited);
       case store_state::sends_garbage:
         return fail(daemon, error_kind::syntax);
       case store_state::is_silent:
@@ -295,6 +295,68 @@
 
 BOOST_FIXTURE_TEST_SUITE(store_interruptions, chain_of_daemons)
 
+// that it began, so that all daemons opened flows at a removed target until something else changed in the store.
+BOOST_AUTO_TEST_CASE(a_target_that_is_removed_after_a_cut_watch_gets_no_new_flows)
+{
+  for (const milliseconds phase : phases) {
+    for (const milliseconds later : { milliseconds(0), milliseconds(100), milliseconds(1000), milliseconds(2400) }) {
+      chain_of_daemons fleet;
+      fleet.play(phase);
+      fleet.cut_watches();
+      fleet.play(later);
+      fleet.store.remove("t-1");
+      fleet.play(drain_time);
+      BOOST_TEST(fleet.users_of(1).empty(),
+                 fleet.users_of(1) << "phase " << phase.count() << " ms, removed " << later.count() << " ms later");
+    }
+  }
+}
+
+// The same for watches that are cut in a row, before and after the removal.
+BOOST_AUTO_TEST_CASE(a_target_that_is_removed_between_many_cut_watches_gets_no_new_flows)
+{
+  for (const milliseconds interval : { milliseconds(50), milliseconds(300), milliseconds(700), milliseconds(1150) }) {
+    for (const int cuts_before : { 0, 1, 3, 12 }) {
+      chain_of_daemons fleet;
+      for (int cut = 0; cut < cuts_before; ++cut) {
+        fleet.cut_watches();
+        fleet.play(interval);
+      }
+      fleet.store.remove("t-1");
+      const instant removed = fleet.now;
+      while (fleet.now < removed + drain_time) {
+        fleet.play(interval);
+        fleet.cut_watches();
+      }
+      BOOST_TEST(fleet.users_of(1).empty(),
+                 fleet.users_of(1) << cuts_before << " cuts before, every " << interval.count() << " ms");
+    }
+  }
+}
+
+// its heartbeats.
+BOOST_AUTO_TEST_CASE(a_target_that_is_removed_after_short_refusals_gets_no_new_flows)
+{
+  for (const store_state state : { store_state::refuses, store_state::rate_limits, store_state::sends_garbage }) {
+    for (const milliseconds phase : phases) {
+      for (const milliseconds refused_for : { milliseconds(20), milliseconds(200), milliseconds(400) }) {
+        chain_of_daemons fleet;
+        fleet.play(phase);
+        fleet.cut_watches();
+        fleet.store.state = state;
+        fleet.play(refused_for);
+        fleet.store.state = store_state::serves;
+        fleet.play(milliseconds(1000));
+        fleet.store.remove("t-1");
+        fleet.play(drain_time);
+        BOOST_TEST(fleet.users_of(1).empty(),
+                   fleet.users_of(1) << "state " << static_cast<int>(state) << ", phase " << phase.count()
+                                     << " ms, refused for " << refused_for.count() << " ms");
+      }
+    }
+  }
+}
+
 // still find it while it may be alive, and none afterwards.
 BOOST_AUTO_TEST_CASE(targets_removed_by_an_outage_are_kept_for_a_bounded_time)
 {
@@ -387,6 +449,35 @@
   }
 }
 
+// Watches that are cut while targets wait for their records to return do not extend the wait, and an outage does.
+BOOST_AUTO_TEST_CASE(only_another_outage_extends_the_grace_period)
+{
+  const auto play_outage = [](chain_of_daemons& fleet) {
+    fleet.store.state = store_state::refuses;
+    fleet.cut_watches();
+    fleet.play(milliseconds(4000));
+    fleet.store.state = store_state::serves;
+  };
+  chain_of_daemons cut;
+  play_outage(cut);
+  cut.store.remove("t-1");
+  cut.play(milliseconds(1000)); // The longest delay of a call after an outage.
+  for (const instant end = cut.now + max_hold_time; cut.now < end;) {
+    cut.play(milliseconds(300));
+    cut.cut_watches();
+  }
+  BOOST_TEST(cut.users_of(1).empty(), cut.users_of(1));
+  chain_of_daemons away;
+  play_outage(away);
+  away.store.remove("t-1");
+  away.play(milliseconds(2000));
+  play_outage(away);
+  away.play(milliseconds(2000));
+  BOOST_TEST(away.users_of(1) == "reader relay follower ");
+  away.play(max_hold_time);
+  BOOST_TEST(away.users_of(1).empty(), away.users_of(1));
+}
+
 // An outage in which the store forgets its history as well.
 BOOST_AUTO_TEST_CASE(targets_that_a_list_after_an_outage_lacks_are_kept_for_a_bounded_time)
 {
@@ -436,6 +527,18 @@
   }
 }
 
+// A daemon whose first call is cut or refused once takes the removals that follow for what they are.
+BOOST_AUTO_TEST_CASE(a_daemon_that_starts_after_a_failed_call_keeps_no_removed_target)
+{
+  chained_daemon& started = add("started", record_sender::store, nullptr);
+  started.model.call(record_sender::store, now);
+  started.model.receive(call_failed{ { error_kind::unavailable, "the connection was closed" } }, now);
+  play(milliseconds(500));
+  store.remove("t-1");
+  play(drain_time);
+  BOOST_TEST(users_of(1).empty(), users_of(1));
+}
+
 // comes back may be alive.
 BOOST_AUTO_TEST_CASE(a_daemon_that_starts_during_an_outage_keeps_removed_targets)
 {
@@ -452,6 +555,32 @@
   BOOST_TEST(users_of(1).empty(), users_of(1));
 }
 
+// targets could write.
+BOOST_AUTO_TEST_CASE(a_daemon_that_was_refused_alone_keeps_no_removed_target)
+{
+  chained_daemon& refused = add("refused", record_sender::store, nullptr);
+  play(milliseconds(2000));
+  refused.model.call(record_sender::store, now);
+  refused.call.reset();
+  for (int failures = 0; failures < 3; ++failures) {
+    refused.model.receive(call_failed{ { error_kind::unavailable, "refused" } }, now);
+    now = std::max(now, refused.model.follower.next_wakeup());
+    refused.model.call(record_sender::store, now);
+  }
+  refused.model.receive(call_failed{ { error_kind::unavailable, "refused" } }, now);
+  refused.sender = record_sender::own_domain;
+  refused.source = &reader();
+  play(milliseconds(4000));
+  refused.sender = record_sender::store;
+  refused.source = nullptr;
+  refused.call.reset();
+  refused.model.follower.on_peer_failure();
+  play(milliseconds(100));
+  store.remove("t-1");
+  play(drain_time);
+  BOOST_TEST(users_of(1).empty(), users_of(1));
+}
+
 // write, and what expired returns after the end of the partition.
 BOOST_AUTO_TEST_CASE(a_domain_that_was_cut_off_keeps_removed_targets_when_it_reads_the_store_again)
 {
--- a/libraries/state/names.cpp
+++ b/libraries/state/names.cpp
@@ -33,6 +33,8 @@
       return "unavailable";
     case error_kind::stale:
       return "stale";
+    case error_kind::rate_limited:
+      return "rate_limited";
   }
   return "invalid";
 }
--- a/programs/coltsfootlockd/carried/carried_settings.cpp
+++ b/programs/coltsfootlockd/carried/carried_settings.cpp
@@ -30,6 +30,7 @@
     return false;
   }
   result.follower.max_record_gap = std::max(result.follower.max_record_gap, 2 * steering.target_heartbeat);
+  result.follower.max_interruption = steering.target_heartbeat;
   return true;
 }
 
--- a/programs/coltsfootlockd/tests/test_numeric_settings.cpp
+++ b/programs/coltsfootlockd/tests/test_numeric_settings.cpp
@@ -168,6 +168,7 @@
   BOOST_TEST((largest->steering.flow_lifetime == year));
   BOOST_TEST((largest->shutdown_grace == year));
   BOOST_TEST((largest->follower.max_record_gap == 2 * year));
+  BOOST_TEST((largest->follower.max_interruption == year));
   BOOST_TEST(largest->link_kbps() == 1000000000U);
   for (const std::string& flag : numbers_of_template()) {
     values[flag] = "0.00000001";
@@ -178,6 +179,7 @@
   BOOST_TEST(smallest->steering.flow_lifetime.count() == 1);
   BOOST_TEST(smallest->shutdown_grace.count() == 0);
   BOOST_TEST((smallest->follower.max_record_gap == follower_settings{}.max_record_gap));
+  BOOST_TEST(smallest->follower.max_interruption.count() == 1);
   BOOST_TEST(smallest->link_kbps() == 1U);
 }
 
--- a/programs/coltsfootlockd/tests/test_record_path.cpp
+++ b/programs/coltsfootlockd/tests/test_record_path.cpp
@@ -119,6 +119,22 @@
     return true;
   }
 
+  static bool knows_records(const record_daemon& daemon, std::size_t count)
+  {
+    const auto all = daemon.records.cache().all();
+    return all && all->size() == count;
+  }
+
+  /// A daemon that follows the reader and has its records.
+  record_daemon& add_follower(const record_daemon& reader)
+  {
+    BOOST_REQUIRE(run([&] { return is_confirmed_in(reader, 1); }));
+    record_daemon& follower = add_daemon("follower");
+    follower.sources.on_member({ "reader", "a", reader.server.local(), 1000 }, boot_clock_now());
+    BOOST_REQUIRE(run([&] { return is_confirmed_in(follower, 1) && follower.records.followed().has_value(); }));
+    return follower;
+  }
+
   static bool is_confirmed_in(const record_daemon& daemon, std::uint64_t era)
   {
     return daemon.records.confirmed_at() && daemon.records.cache().complete() &&
@@ -134,10 +150,7 @@
 BOOST_AUTO_TEST_CASE(a_follower_enters_an_era_with_the_list_of_its_source)
 {
   record_daemon& reader = add_daemon("reader");
-  BOOST_REQUIRE(run([&] { return is_confirmed_in(reader, 1); }));
-  record_daemon& follower = add_daemon("follower");
-  follower.sources.on_member({ "reader", "a", reader.server.local(), 1000 }, boot_clock_now());
-  BOOST_REQUIRE(run([&] { return is_confirmed_in(follower, 1) && follower.records.followed().has_value(); }));
+  record_daemon& follower = add_follower(reader);
   const auto copy = store.take_copy();
   store.publish_target(target_of(9));
   BOOST_REQUIRE(
@@ -153,6 +166,45 @@
   BOOST_TEST(follower.records.cache().all()->size() == 10U);
 }
 
+// Regression, review/12: a watch that the store ends once made the reader and its followers assume an outage, and they
+// went on opening flows at a target that was removed afterwards.
+BOOST_AUTO_TEST_CASE(a_watch_that_is_ended_lets_no_removed_target_lapse)
+{
+  record_daemon& reader = add_daemon("reader");
+  record_daemon& follower = add_follower(reader);
+  store.end_watches(boot_clock_now());
+  BOOST_REQUIRE(run([&] { return reader.records.counters().store_failures == 1; }));
+  store.remove_target("t-1");
+  for (const record_daemon* daemon : { &reader, &follower }) {
+    BOOST_REQUIRE(run([&] { return knows_records(*daemon, 8); }));
+    BOOST_TEST((daemon->records.counters().assumed_outages == record_counters{}.assumed_outages));
+    BOOST_TEST(daemon->engine.lapsed().count == 0U);
+  }
+}
+
+// What the store no longer has after an outage lapses at the reader and at its followers, which say why.
+BOOST_AUTO_TEST_CASE(targets_removed_by_an_outage_lapse)
+{
+  record_daemon& reader = add_daemon("reader");
+  record_daemon& follower = add_follower(reader);
+  store.set_serving(false);
+  store.end_watches(boot_clock_now());
+  BOOST_REQUIRE(run([&] { return reader.records.counters().store_failures == 1; }));
+  const instant failed = boot_clock_now();
+  BOOST_REQUIRE(run([&] { return boot_clock_now() - failed > follower_settings{}.max_interruption; }));
+  store.remove_target("t-1");
+  store.set_serving(true);
+  const auto count_of = [](const record_daemon& daemon, outage_sign sign) {
+    return daemon.records.counters().assumed_outages.at(static_cast<std::size_t>(sign));
+  };
+  for (const record_daemon* daemon : { &reader, &follower }) {
+    BOOST_REQUIRE(run([&] { return knows_records(*daemon, 8); }));
+    BOOST_TEST(daemon->engine.lapsed().count == 1U);
+  }
+  BOOST_TEST(count_of(reader, outage_sign::calls_failed) == 1U);
+  BOOST_TEST(count_of(follower, outage_sign::reported_by_source) == 1U);
+}
+
 // A source that has not heard of the era would bring back the records of the old one.
 BOOST_AUTO_TEST_CASE(a_source_of_a_lower_era_is_left)
 {
