steering: a forgotten history is no outage of the store

A list of many pages after it counted as a gap in the records as well, since only a complete list confirms them.

The list that follows shows what is gone. 410 by itself begins no grace period; a gap or an interruption before it does, as before any other response. Each response of the store now shows when it served, but for old pages, which may come from a copy.

--- a/include/coltsfootlock/coordination/steering/assumed_outage.h
+++ b/include/coltsfootlock/coordination/steering/assumed_outage.h
@@ -13,12 +13,11 @@
 {
   calls_failed,       ///< The daemon's own calls to the store failed.
   records_gap,        ///< The daemon's records were not confirmed for too long.
-  history_forgotten,  ///< The changes since the daemon's position are no longer available.
   new_era,            ///< The store has come back from an older copy.
   reported_by_source, ///< The daemon whose records are followed assumes one.
 };
 
-inline constexpr std::size_t outage_sign_count = 5;
+inline constexpr std::size_t outage_sign_count = 4;
 
 const char*
 to_string(outage_sign value);
--- a/include/coltsfootlock/coordination/steering/record_follower.h
+++ b/include/coltsfootlock/coordination/steering/record_follower.h
@@ -95,6 +95,9 @@
 /// A failed call is followed by one that does not wait, which shows whether the store serves, and only an interruption
 /// that can have cost targets their records is an outage.
 ///
+/// Load pattern: the store forgets its history, as on any day, while targets leave. The list that follows shows which
+/// are gone; that the changes are not available is no sign that the store was away.
+///
 /// Load pattern: a daemon that was cut off for seconds while large catalogues came in quick succession asks for all
 /// changes since, which are too large for one response. It lists the records instead, of which there is one catalogue.
 ///
--- a/libraries/coordination/steering/assumed_outage.cpp
+++ b/libraries/coordination/steering/assumed_outage.cpp
@@ -10,8 +10,6 @@
       return "calls_failed";
     case outage_sign::records_gap:
       return "records_gap";
-    case outage_sign::history_forgotten:
-      return "history_forgotten";
     case outage_sign::new_era:
       return "new_era";
     case outage_sign::reported_by_source:
--- a/libraries/coordination/steering/record_follower.cpp
+++ b/libraries/coordination/steering/record_follower.cpp
@@ -105,6 +105,10 @@
     result.regained = failures_ > 0;
     failures_ = 0;
     interrupted_since_.reset();
+    if (!listing_ || !list_is_old_) {
+      const instant served = std::min(now, latest_sending_);
+      served_at_ = std::max(served_at_.value_or(served), served);
+    }
   }
   if (age.outage_grace_left > milliseconds(0)) {
     assume_outage(result, outage_sign::reported_by_source, known_until, now + age.outage_grace_left, now);
@@ -263,7 +267,7 @@
 {
   const instant at = std::min(now, latest_sending_) - age.records;
   confirmed_at_ = std::max(confirmed_at_.value_or(at), at);
-  if (sender_ != record_sender::other_domain) {
+  if (sender_ == record_sender::own_domain) {
     served_at_ = std::max(served_at_.value_or(at), at);
   }
 }
@@ -277,7 +281,6 @@
     list_anew(result, *response.era, now);
     return result;
   }
-  assume_outage(result, outage_sign::history_forgotten, confirmed_at_.value_or(now), now + settings_.outage_grace, now);
   listing_ = true;
   relists_from_store_ = sender_ == record_sender::store;
   list_is_old_ = false;
--- a/libraries/coordination/steering/tests/test_store_interruptions.cpp
+++ b/libraries/coordination/steering/tests/test_store_interruptions.cpp
@@ -478,6 +478,20 @@
   BOOST_TEST(away.users_of(1).empty(), away.users_of(1));
 }
 
+// The store may discard its history on any day. The list that follows has what exists, and what it lacks was removed.
+BOOST_AUTO_TEST_CASE(a_target_that_is_removed_while_the_history_is_forgotten_gets_no_new_flows)
+{
+  for (const milliseconds phase : phases) {
+    chain_of_daemons fleet;
+    fleet.play(phase);
+    fleet.cut_watches();
+    fleet.store.remove("t-1");
+    fleet.store.history_begins = fleet.store.position;
+    fleet.play(drain_time);
+    BOOST_TEST(fleet.users_of(1).empty(), fleet.users_of(1) << "phase " << phase.count());
+  }
+}
+
 // An outage in which the store forgets its history as well.
 BOOST_AUTO_TEST_CASE(targets_that_a_list_after_an_outage_lacks_are_kept_for_a_bounded_time)
 {
