steering: an interruption ends when another daemon of the domain is served

A daemon whose call to the store failed once, and that has followed another one of its domain since, counted the time since that call when it read the store again: a reader that falls silent for 1.5 s would then make its successor assume an outage, and keep removed targets.

Records of the own domain that are confirmed as of a time after the failed call show that the store served the domain; they end the interruption. Calls that fail later begin a new one.

The comments of the suite are complete again: some had lost their first lines.

--- a/libraries/coordination/steering/record_follower.cpp
+++ b/libraries/coordination/steering/record_follower.cpp
@@ -127,15 +127,12 @@
   result.outage = outage_;
 }
 
-/// True if the response is the store's first one after an interruption in which targets may have lost their records. As
-/// far as the store served another daemon of the domain meanwhile, it did not keep the domain's targets from writing.
+/// True if the response is the store's first one after an interruption in which targets may have lost their records.
 bool
 record_follower::was_interrupted(instant now) const
 {
-  if (sender_ != record_sender::store || !interrupted_since_) {
-    return false;
-  }
-  return now - std::max(*interrupted_since_, served_at_.value_or(instant{})) >= settings_.max_interruption;
+  return sender_ == record_sender::store && interrupted_since_ &&
+         now - *interrupted_since_ >= settings_.max_interruption;
 }
 
 /// True if the records of the response are much newer than the last ones, and what kept this daemon from them may have
@@ -269,6 +266,10 @@
   confirmed_at_ = std::max(confirmed_at_.value_or(at), at);
   if (sender_ == record_sender::own_domain) {
     served_at_ = std::max(served_at_.value_or(at), at);
+    // What the store refused this daemon, it did not refuse the domain's targets.
+    if (interrupted_since_ && *served_at_ > *interrupted_since_) {
+      interrupted_since_.reset();
+    }
   }
 }
 
--- a/libraries/coordination/steering/tests/test_store_interruptions.cpp
+++ b/libraries/coordination/steering/tests/test_store_interruptions.cpp
@@ -295,6 +295,7 @@
 
 BOOST_FIXTURE_TEST_SUITE(store_interruptions, chain_of_daemons)
 
+// Regression, review/12: one cut watch counted as an outage of the store, and each response renewed the grace period
 // that it began, so that all daemons opened flows at a removed target until something else changed in the store.
 BOOST_AUTO_TEST_CASE(a_target_that_is_removed_after_a_cut_watch_gets_no_new_flows)
 {
@@ -334,6 +335,7 @@
   }
 }
 
+// A single refused or unreadable response shows no outage, nor do some in a row, as long as no target can have missed
 // its heartbeats.
 BOOST_AUTO_TEST_CASE(a_target_that_is_removed_after_short_refusals_gets_no_new_flows)
 {
@@ -357,6 +359,7 @@
   }
 }
 
+// What expired during an outage is kept for a bounded time although nothing else changes in the store: new flows
 // still find it while it may be alive, and none afterwards.
 BOOST_AUTO_TEST_CASE(targets_removed_by_an_outage_are_kept_for_a_bounded_time)
 {
@@ -421,6 +424,7 @@
   }
 }
 
+// The other side: records of living targets expire during an outage and return within two seconds of its end. Open
 // flows go on, and new ones find a target all the while.
 BOOST_AUTO_TEST_CASE(living_targets_keep_their_flows_through_an_outage)
 {
@@ -513,6 +517,7 @@
   }
 }
 
+// A withdrawal that the store lost for good, and a target that it lacks, in a store in which nothing else changes.
 // Daemons that start get the target from the cache only until then.
 BOOST_AUTO_TEST_CASE(what_a_new_era_lacks_is_kept_for_a_bounded_time)
 {
@@ -553,6 +558,7 @@
   BOOST_TEST(users_of(1).empty(), users_of(1));
 }
 
+// A daemon that starts during an outage knows records from a list of old pages. What the store no longer has when it
 // comes back may be alive.
 BOOST_AUTO_TEST_CASE(a_daemon_that_starts_during_an_outage_keeps_removed_targets)
 {
@@ -569,6 +575,7 @@
   BOOST_TEST(users_of(1).empty(), users_of(1));
 }
 
+// The store refuses one daemon for a long time and serves another one of its domain, whose records show that the
 // targets could write.
 BOOST_AUTO_TEST_CASE(a_daemon_that_was_refused_alone_keeps_no_removed_target)
 {
@@ -595,6 +602,28 @@
   BOOST_TEST(users_of(1).empty(), users_of(1));
 }
 
+// A call failed long ago, and the daemon has followed another one since. When that one falls silent, it reads the store
+// after the time in which a reader that is silent is noticed.
+BOOST_AUTO_TEST_CASE(an_interruption_ends_when_another_daemon_of_the_domain_is_served)
+{
+  record_follower follower(follower_settings{}, 1);
+  const auto respond = [&](record_sender sender, const record_response& response) {
+    BOOST_REQUIRE(follower.next_call(sender, false, now).has_value());
+    return follower.on_response(response, now);
+  };
+  respond(record_sender::own_domain, record_page{ {}, { 1, 100 }, "", false, {} });
+  respond(record_sender::store, call_failed{ { error_kind::unavailable, "refused" } });
+  for (const instant end = now + milliseconds(5000); now < end;) {
+    now += milliseconds(600);
+    respond(record_sender::own_domain, record_events{ {}, { 1, 100 }, {} });
+  }
+  now += follower_settings{}.max_successor_record_age;
+  const auto progress = respond(record_sender::store, record_events{ {}, { 1, 100 }, {} });
+  BOOST_TEST(progress.regained);
+  BOOST_TEST(!progress.outage.has_value());
+}
+
+// A domain that is cut off from the store follows another domain, whose records are current: its targets could not
 // write, and what expired returns after the end of the partition.
 BOOST_AUTO_TEST_CASE(a_domain_that_was_cut_off_keeps_removed_targets_when_it_reads_the_store_again)
 {
@@ -619,6 +648,7 @@
   BOOST_TEST(users_of(1) == "cut off ", users_of(1));
 }
 
+// A response passes on what is left of its sender's grace period, and one without any does not touch that of the
 // receiver.
 BOOST_AUTO_TEST_CASE(a_response_without_a_grace_period_does_not_move_its_end)
 {
