steering: records of another domain do not show that the store serves the own one

A response states how much earlier the store last served the sender's domain (domain_lag_ms, only if above zero, ignored by daemons of previous versions). A follower takes that time for its domain's, not that of the records.

Test: a_follower_in_a_domain_that_was_cut_off_keeps_removed_targets failed before (1 check) and passes; a_lag_of_the_domain_is_stated_only_if_there_is_one.

--- a/include/coltsfootlock/coordination/steering/record_follower.h
+++ b/include/coltsfootlock/coordination/steering/record_follower.h
@@ -191,6 +191,10 @@
   /// The last outage of the store that was assumed.
   const std::optional<assumed_outage>& outage() const { return outage_; }
 
+  /// How much earlier than at `confirmed_at` the store last served this daemon's domain, as far as it knows: above zero
+  /// if the records come from another domain.
+  milliseconds domain_lag() const;
+
   /// Failed calls to the store since its last response.
   unsigned failures() const { return failures_; }
 
@@ -200,6 +204,9 @@
   const store_position& position() const { return position_; }
 
 private:
+  /// The lag of a daemon that does not know when the store served its domain.
+  static constexpr milliseconds unknown_domain_lag = std::chrono::hours(24);
+
   progress on(record_page page, instant now);
   progress on(record_events events, instant now);
   progress on(const history_unavailable& response, instant now);
--- a/include/coltsfootlock/state/record_call.h
+++ b/include/coltsfootlock/state/record_call.h
@@ -43,6 +43,8 @@
   milliseconds records{ 0 }; ///< Time since the sender's records were last known to be complete.
   /// Time for which missing records may still be a consequence of an outage of the store.
   milliseconds outage_grace_left{ 0 };
+  /// How much earlier the store last served the sender's domain; above zero if the records come from another domain.
+  milliseconds domain_lag{ 0 };
 
   auto operator<=>(const response_age&) const = default;
 };
--- a/libraries/coordination/steering/record_follower.cpp
+++ b/libraries/coordination/steering/record_follower.cpp
@@ -144,6 +144,15 @@
   return sender_ != record_sender::own_domain && known && now - age.records - *known > settings_.max_record_gap;
 }
 
+milliseconds
+record_follower::domain_lag() const
+{
+  if (!confirmed_at_ || !served_at_) {
+    return unknown_domain_lag;
+  }
+  return std::max(std::chrono::ceil<milliseconds>(*confirmed_at_ - *served_at_), milliseconds(0));
+}
+
 void
 record_follower::on_peer_failure()
 {
@@ -265,7 +274,8 @@
   const instant at = std::min(now, latest_sending_) - age.records;
   confirmed_at_ = std::max(confirmed_at_.value_or(at), at);
   if (sender_ == record_sender::own_domain) {
-    served_at_ = std::max(served_at_.value_or(at), at);
+    const instant served = at - age.domain_lag;
+    served_at_ = std::max(served_at_.value_or(served), served);
     // What the store refused this daemon, it did not refuse the domain's targets.
     if (interrupted_since_ && *served_at_ > *interrupted_since_) {
       interrupted_since_.reset();
--- a/libraries/coordination/steering/tests/test_store_interruptions.cpp
+++ b/libraries/coordination/steering/tests/test_store_interruptions.cpp
@@ -268,7 +268,8 @@
     }
     const response_age age{ std::chrono::ceil<milliseconds>(now - *confirmed),
                             std::max(std::chrono::ceil<milliseconds>(source.model.follower.outage_grace_end() - now),
-                                     milliseconds(0)) };
+                                     milliseconds(0)),
+                            source.model.follower.domain_lag() };
     const record_cache& cache = source.model.cache;
     const auto* watch = std::get_if<watch_call>(&*daemon.call);
     if (watch == nullptr) {
@@ -648,6 +649,38 @@
   BOOST_TEST(users_of(1) == "cut off ", users_of(1));
 }
 
+// The same for a daemon that follows the one of its domain that follows another domain: their records are current, and
+// still the store serves none of them.
+BOOST_AUTO_TEST_CASE(a_follower_in_a_domain_that_was_cut_off_keeps_removed_targets)
+{
+  chained_daemon& elsewhere = add("elsewhere", record_sender::store, nullptr);
+  chained_daemon& contact = add("contact", record_sender::store, nullptr);
+  chained_daemon& cut_off = add("cut off", record_sender::store, nullptr);
+  play(milliseconds(2000));
+  const auto follow = [](chained_daemon& daemon, record_sender sender, chained_daemon* source) {
+    if (daemon.call) {
+      daemon.model.follower.on_peer_failure();
+    }
+    daemon.call.reset();
+    daemon.sender = sender;
+    daemon.source = source;
+  };
+  for (chained_daemon* daemon : { &contact, &cut_off }) {
+    daemon->model.call(record_sender::store, now);
+    daemon->model.receive(call_failed{ { error_kind::unavailable, "no answer" } }, now);
+    daemon->call.reset();
+  }
+  follow(contact, record_sender::other_domain, &elsewhere);
+  follow(cut_off, record_sender::own_domain, &contact);
+  play(milliseconds(2000));
+  BOOST_TEST((now - cut_off.model.follower.confirmed_at().value() <= milliseconds(1300)));
+  follow(cut_off, record_sender::store, nullptr);
+  play(milliseconds(100));
+  store.remove("t-1");
+  play(milliseconds(100));
+  BOOST_TEST(users_of(1) == "cut off ", users_of(1));
+}
+
 // A response passes on what is left of its sender's grace period, and one without any does not touch that of the
 // receiver.
 BOOST_AUTO_TEST_CASE(a_response_without_a_grace_period_does_not_move_its_end)
--- a/libraries/protocol/relay_codec.cpp
+++ b/libraries/protocol/relay_codec.cpp
@@ -457,6 +457,9 @@
   position = { read_era(fields, content), fields.number("revision", 0, max_number) };
   age.records = milliseconds(static_cast<milliseconds::rep>(fields.number("age_ms", 0, max_number)));
   age.outage_grace_left = milliseconds(static_cast<milliseconds::rep>(fields.number("settle_ms", 0, max_number)));
+  if (content.contains("domain_lag_ms")) {
+    age.domain_lag = milliseconds(static_cast<milliseconds::rep>(fields.number("domain_lag_ms", 0, max_number)));
+  }
   observations = decode_observations(content, fields, why);
   if (fields.ok()) {
     loads = decode_load_field(content, why);
@@ -508,6 +511,9 @@
                  { "alive", std::move(alive) },
                  { "newest_lost", observations.newest },
                  { "changes", json::binary({ changes.begin(), changes.end() }) } };
+  if (age.domain_lag > milliseconds(0)) {
+    response["domain_lag_ms"] = age.domain_lag.count();
+  }
   if (loads) {
     response["load"] = encode_load_field(*loads);
   }
--- a/libraries/protocol/tests/test_relay_codec.cpp
+++ b/libraries/protocol/tests/test_relay_codec.cpp
@@ -61,22 +61,32 @@
 {
   const record_events events{ one_of_each_kind(),
                               12,
-                              { milliseconds(30), milliseconds(40) },
+                              { milliseconds(30), milliseconds(40), milliseconds(50) },
                               { { { "t-9", 1780000000000, milliseconds(70) },
                                   { "t-8", 1780000000001, milliseconds(20), observation_kind::alive } },
                                 5 } };
   const std::string bytes =
     encode_response(encode_changes(events.changes), events.position, events.age, events.observations);
   BOOST_TEST((decode_events(bytes) == record_response(events)));
-  const record_page page{
-    one_of_each_kind(), 12, "", false, { milliseconds(30), milliseconds(40) }, events.observations
-  };
+  const record_page page{ one_of_each_kind(), 12, "", false, { milliseconds(30), milliseconds(40), milliseconds(50) },
+                          events.observations };
   BOOST_TEST((decode_page(bytes) == record_response(page)));
   const member_list list{ { { "entry-1", "a", { 0x0a000001, 80 }, 10000 } }, 17 };
   error why;
   BOOST_TEST((decode_member_list(encode_member_list(list), why) == list));
 }
 
+// Daemons of the previous version do not know the lag of a domain, which is zero but for records of another domain.
+BOOST_AUTO_TEST_CASE(a_lag_of_the_domain_is_stated_only_if_there_is_one)
+{
+  const response_age ages[] = { {}, { milliseconds(1), milliseconds(2), milliseconds(3) } };
+  for (const response_age& age : ages) {
+    const std::string bytes = encode_response(encode_changes({}), 12, age, {});
+    BOOST_TEST(nlohmann::json::from_msgpack(bytes).contains("domain_lag_ms") == (age != response_age{}));
+    BOOST_TEST((decode_events(bytes) == record_response(record_events{ {}, 12, age })));
+  }
+}
+
 // A list contains records of an earlier era that the store's copy lacks. Without their own era they would pass for
 // records of the present one.
 BOOST_AUTO_TEST_CASE(each_change_keeps_its_era)
--- a/programs/coltsfootlockd/carried/record_path.cpp
+++ b/programs/coltsfootlockd/carried/record_path.cpp
@@ -96,7 +96,8 @@
     return std::nullopt;
   }
   return response_age{ std::chrono::ceil<milliseconds>(now - *follower_.confirmed_at()),
-                       std::max(std::chrono::ceil<milliseconds>(follower_.outage_grace_end() - now), milliseconds(0)) };
+                       std::max(std::chrono::ceil<milliseconds>(follower_.outage_grace_end() - now), milliseconds(0)),
+                       follower_.domain_lag() };
 }
 
 void
