Tests of steering: count the resets of the daemons in store_interruptions

The cases that hold open flows through an outage checked that no flow is reset, but the model of a daemon ticks the engine with each response and dropped the resets of that tick, which is where all of them happen. The check could not fail; the cases rested on where new flows go. A control case that expects resets showed it: 0 of 3.

The model keeps the resets. quiet_flows_of_living_targets_are_not_reset_after_an_outage holds flows that show no sign of life, quiet_flows_of_targets_that_do_not_return_are_reset guards against the others passing because nothing is ever reset.

--- a/libraries/coordination/steering/tests/daemon_model.h
+++ b/libraries/coordination/steering/tests/daemon_model.h
@@ -43,6 +43,7 @@
   record_cache cache;
   steering_engine engine{ steering_fixture::make_settings() };
   std::uint16_t next_port = 1000;
+  std::uint64_t resets = 0; ///< Flows that the daemon has reset.
 
   explicit daemon_model(std::uint32_t seed = 100000007)
     : follower(settings, seed)
@@ -80,10 +81,12 @@
       cache.expire(*follower.confirmed_at(), follower.outage_grace_end());
       engine.on_confirmed(*follower.confirmed_at(), follower.outage_grace_end());
     }
-    engine.tick(now);
+    tick(now);
     return true;
   }
 
+  void tick(instant now) { resets += engine.tick(now).size(); }
+
   /// The response to a list of another daemon that follows this one.
   record_page list_for_followers(instant now) const
   {
--- a/libraries/coordination/steering/tests/test_store_interruptions.cpp
+++ b/libraries/coordination/steering/tests/test_store_interruptions.cpp
@@ -95,7 +95,6 @@
   instant called{};
   instant deadline{};
   instant renewed_at{};
-  std::uint64_t resets = 0;
 };
 
 /// A reader of the store, a relay that follows it and a follower of the relay. Calls take one step each way.
@@ -189,7 +188,7 @@
   {
     std::uint64_t result = 0;
     for (const chained_daemon& daemon : daemons) {
-      result += daemon.resets;
+      result += daemon.model.resets;
     }
     return result;
   }
@@ -219,7 +218,7 @@
 
   void advance(chained_daemon& daemon)
   {
-    daemon.resets += daemon.model.engine.tick(now).size();
+    daemon.model.tick(now);
     if (daemon.call && now - daemon.called >= 2 * step) {
       daemon.source == nullptr ? finish_store_call(daemon) : finish_peer_call(daemon);
     }
@@ -454,6 +453,48 @@
   }
 }
 
+// The same for flows without packets, which show no sign of life: only the grace period protects them.
+BOOST_AUTO_TEST_CASE(quiet_flows_of_living_targets_are_not_reset_after_an_outage)
+{
+  for (const store_state state : { store_state::refuses, store_state::is_silent }) {
+    for (const milliseconds away : { 2 * heartbeat, milliseconds(2500), milliseconds(6000) }) {
+      for (const milliseconds phase : phases) {
+        chain_of_daemons fleet;
+        fleet.play(phase);
+        fleet.open_flows(1);
+        fleet.store.state = state;
+        fleet.cut_watches();
+        fleet.play(away);
+        fleet.store.remove("t-1");
+        fleet.store.state = store_state::serves;
+        fleet.play(milliseconds(2000));
+        fleet.store.publish(written(1, 11));
+        fleet.play(milliseconds(6000));
+        BOOST_TEST(fleet.resets() == 0U, "away " << away.count() << " ms, phase " << phase.count() << " ms");
+      }
+    }
+  }
+}
+
+// Guards against the cases above passing because nothing is ever reset: a target that is removed on an ordinary day, or
+// does not return after an outage, loses its quiet flows at all daemons.
+BOOST_AUTO_TEST_CASE(quiet_flows_of_targets_that_do_not_return_are_reset)
+{
+  for (const bool after_outage : { false, true }) {
+    chain_of_daemons fleet;
+    fleet.open_flows(1);
+    if (after_outage) {
+      fleet.store.state = store_state::refuses;
+      fleet.cut_watches();
+    }
+    fleet.play(milliseconds(4000));
+    fleet.store.remove("t-1");
+    fleet.store.state = store_state::serves;
+    fleet.play(milliseconds(1000) + max_hold_time);
+    BOOST_TEST(fleet.resets() == fleet.daemons.size(), fleet.resets());
+  }
+}
+
 // Watches that are cut while targets wait for their records to return do not extend the wait, and an outage does.
 BOOST_AUTO_TEST_CASE(only_another_outage_extends_the_grace_period)
 {
