Tests of eras: no flow is reset with the responses of a new era either

The model of a daemon dropped the resets of the ticks that follow a response, so that flows_of_targets_that_the_copy_lacks_are_not_reset_within_the_grace_period saw those of the other ticks only.

--- a/libraries/coordination/steering/tests/test_store_eras.cpp
+++ b/libraries/coordination/steering/tests/test_store_eras.cpp
@@ -318,6 +318,7 @@
     reset = reset || !reader.engine.tick(now).empty();
   }
   BOOST_TEST(!reset);
+  BOOST_TEST(reader.resets == 0U); // Nor with the responses.
   // Without a confirmation as of a time after the grace period nothing changes.
   now += milliseconds(400);
   BOOST_TEST(reader.engine.tick(now).empty());
